--- /dev/null
+++ b/programs/node/main.cpp
@@ -0,0 +1,105 @@
+#include "node/node.h"
+#include "telemetry/telemetry.h"
+
+#include <gflags/gflags.h>
+
+#include <array>
+
+DEFINE_string(instance, "", "name of this instance, unique in the fleet");
+DEFINE_string(zone, "", "availability zone of this instance");
+DEFINE_string(region, "", "region of this instance");
+DEFINE_string(callers, "127.0.0.1:7001", "callers' door");
+DEFINE_string(upstream, "127.0.0.1:7002", "door for the upstream beside this node");
+DEFINE_string(operators, "127.0.0.1:7003", "operator and metrics door");
+DEFINE_string(peers, "127.0.0.1:7004", "door for other nodes");
+DEFINE_string(peer_address, "", "how other nodes reach the peer door, if not as it listens");
+DEFINE_string(seeds, "", "peer doors of a few other nodes");
+DEFINE_string(platform, "", "table service of the platform; empty for none");
+DEFINE_string(policy, "buckthornford", "policy of this node, the same everywhere");
+DEFINE_string(caller_threads, "64", "connections served at once at the callers' door");
+DEFINE_string(upstream_threads, "64", "connections served at once at the upstream's door");
+DEFINE_string(max_body, "1048576", "largest request body in bytes");
+DEFINE_string(key_life_ms, "30000", "life of idempotency keys");
+DEFINE_string(spread_ms, "1500", "time that news may take to be everywhere");
+DEFINE_string(sampled, "0.01", "share of traces that are kept");
+DEFINE_string(seed, "1", "seed of random choices");
+
+using namespace buckthornford;
+
+namespace {
+
+constexpr std::array rules{
+        SettingRule{"instance", name, "1 to 64 letters, digits, - _ ."},
+        SettingRule{"zone", name, "1 to 64 letters, digits, - _ ."},
+        SettingRule{"region", name, "1 to 64 letters, digits, - _ ."},
+        SettingRule{"callers", endpoint, "IP:PORT"},
+        SettingRule{"upstream", endpoint, "IP:PORT"},
+        SettingRule{"operators", endpoint, "IP:PORT"},
+        SettingRule{"peers", endpoint, "IP:PORT"},
+        SettingRule{"peer_address", optionalEndpoint, "IP:PORT or nothing"},
+        SettingRule{"seeds", endpointList, "IP:PORT,IP:PORT,... or nothing"},
+        SettingRule{"platform", optionalEndpoint, "IP:PORT or nothing"},
+        SettingRule{"policy", isPolicyName, "buckthornford or naive"},
+        SettingRule{"caller_threads", wholeNumber<1, 2000>, "1 to 2000"},
+        SettingRule{"upstream_threads", wholeNumber<1, 2000>, "1 to 2000"},
+        SettingRule{"max_body", wholeNumber<1024, 16777216>, "1024 to 16777216"},
+        SettingRule{"key_life_ms", wholeNumber<100, 600000>, "100 to 600000"},
+        SettingRule{"spread_ms", wholeNumber<0, 5000>, "0 to 5000"},
+        SettingRule{"sampled", fraction, "0 to 1"},
+        SettingRule{"seed", wholeNumber<0, INT64_MAX>, "a whole number from 0"},
+};
+
+/// All values were checked by the rules.
+Endpoint endpointOf(const std::string &text)
+{
+    return parseEndpoint(text).value();
+}
+
+NodeSettings settingsFromFlags()
+{
+    NodeSettings settings;
+    settings.instance = InstanceId{FLAGS_instance};
+    settings.zone = ZoneName{FLAGS_zone};
+    settings.region = RegionName{FLAGS_region};
+    settings.callers = endpointOf(FLAGS_callers);
+    settings.upstream = endpointOf(FLAGS_upstream);
+    settings.operators = endpointOf(FLAGS_operators);
+    settings.peers = endpointOf(FLAGS_peers);
+    settings.peerAddress = FLAGS_peer_address;
+    settings.seeds = splitList(FLAGS_seeds, ',');
+    settings.platform = FLAGS_platform;
+    settings.policy = FLAGS_policy;
+    settings.callerThreads = std::stoi(FLAGS_caller_threads);
+    settings.upstreamThreads = std::stoi(FLAGS_upstream_threads);
+    settings.maxBody = Bytes{std::stoull(FLAGS_max_body)};
+    settings.keyLife = std::chrono::milliseconds(std::stoll(FLAGS_key_life_ms));
+    settings.spread = std::chrono::milliseconds(std::stoll(FLAGS_spread_ms));
+    settings.sampledShare = std::stod(FLAGS_sampled);
+    settings.seed = std::stoull(FLAGS_seed) ^ checksum(FLAGS_instance);
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const ProgramInfo program{"buckthornford-node", "the overload control node beside one upstream",
+                              ""};
+    if (const auto status = readSettings(&argc, &argv, program, rules))
+        return *status;
+    blockStopSignals();
+    startLog(program.name);
+    const NodeSettings settings = settingsFromFlags();
+    const auto node = Node::start(settings);
+    if (!node) {
+        logEvent(LogLevel::Error, "start-failed", {{"error", node.error().message()}});
+        return 1;
+    }
+    logEvent(LogLevel::Info, "started",
+             {{"instance", FLAGS_instance}, {"callers", FLAGS_callers}, {"policy", FLAGS_policy}});
+    waitForStopSignal();
+    logEvent(LogLevel::Info, "leaving");
+    node.value()->leave();
+    logEvent(LogLevel::Info, "stopped");
+    return 0;
+}
--- /dev/null
+++ b/programs/upstream/announcer.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "http/http.h"
+#include "task/task.h"
+
+#include <optional>
+#include <string>
+
+namespace buckthornford {
+
+/// The upstream wants to leave; \a drained is told when it may stop.
+struct LeaveWanted
+{
+    std::shared_ptr<ReplySlot<bool>> drained;
+};
+
+/// The task that announces the upstream to its node.
+class Announcer : public Task<LeaveWanted>
+{
+public:
+    struct Settings
+    {
+        Endpoint node;
+        Endpoint self;
+        std::string service;
+        std::uint32_t slots = 1;
+    };
+
+    explicit Announcer(Settings settings);
+    ~Announcer() override { stop(); }
+
+protected:
+    void handle(LeaveWanted &&message, TimePoint now) override;
+    TimePoint tick(TimePoint now) override;
+
+private:
+    /// Returns whether the node said that the upstream is drained.
+    bool announce();
+
+    Settings m_settings;
+    std::string m_startId;
+    std::optional<HttpConnection> m_connection;
+    std::shared_ptr<ReplySlot<bool>> m_drained;
+    bool m_wasHeard = true;
+};
+
+} // namespace buckthornford
--- /dev/null
+++ b/programs/upstream/main.cpp
@@ -0,0 +1,129 @@
+#include "telemetry/telemetry.h"
+#include "upstream/announcer.h"
+#include "upstream/service.h"
+
+#include <gflags/gflags.h>
+
+#include <array>
+
+DEFINE_string(listen, "127.0.0.1:7010", "address of the upstream");
+DEFINE_string(node, "127.0.0.1:7002", "the upstream's door of its own node; empty for none");
+DEFINE_string(service, "service", "name of the service");
+DEFINE_string(instance, "upstream", "name of this instance");
+DEFINE_string(slots, "16", "executions at once, as announced");
+DEFINE_string(knee, "0", "executions above which each slows the others; 0 for the slots");
+DEFINE_string(mean_ms, "5", "mean service time in milliseconds");
+DEFINE_string(spread, "0.3", "relative standard deviation of the service time");
+DEFINE_string(next, "", "service that each execution calls; empty for none");
+DEFINE_string(fan_out, "1", "calls to the next service");
+DEFINE_string(long_factor, "50", "cost of operations whose name starts with long");
+DEFINE_string(cold_seconds, "0", "seconds of cold start");
+DEFINE_string(threads, "256", "connections served at once");
+DEFINE_string(seed, "1", "seed of random service times");
+DEFINE_bool(may_crash, false, "a request marked to crash ends the process");
+
+using namespace buckthornford;
+
+namespace {
+
+bool optionalName(std::string_view text)
+{
+    return text.empty() || name(text);
+}
+
+bool milliseconds(std::string_view text)
+{
+    return isDecimal(text, 0.01, 60'000);
+}
+
+constexpr std::array rules{
+        SettingRule{"listen", endpoint, "IP:PORT"},
+        SettingRule{"node", optionalEndpoint, "IP:PORT or nothing"},
+        SettingRule{"service", name, "1 to 64 letters, digits, - _ ."},
+        SettingRule{"instance", name, "1 to 64 letters, digits, - _ ."},
+        SettingRule{"slots", wholeNumber<1, 10000>, "1 to 10000"},
+        SettingRule{"knee", wholeNumber<0, 10000>, "0 to 10000"},
+        SettingRule{"mean_ms", milliseconds, "0.01 to 60000"},
+        SettingRule{"spread", fraction, "0 to 1"},
+        SettingRule{"next", optionalName, "a service name or nothing"},
+        SettingRule{"fan_out", wholeNumber<1, 100>, "1 to 100"},
+        SettingRule{"long_factor", wholeNumber<1, 1000>, "1 to 1000"},
+        SettingRule{"cold_seconds", wholeNumber<0, 3600>, "0 to 3600"},
+        SettingRule{"threads", wholeNumber<1, 2000>, "1 to 2000"},
+        SettingRule{"seed", wholeNumber<0, INT64_MAX>, "a whole number from 0"},
+};
+
+constexpr Duration leaveTimeout = std::chrono::seconds(60);
+
+Behaviour behaviourFromFlags()
+{
+    Behaviour behaviour;
+    behaviour.meanMs = std::stod(FLAGS_mean_ms);
+    behaviour.spread = std::stod(FLAGS_spread);
+    behaviour.slots = static_cast<std::uint32_t>(std::stoul(FLAGS_slots));
+    behaviour.knee = static_cast<std::uint32_t>(std::stoul(FLAGS_knee));
+    if (behaviour.knee == 0)
+        behaviour.knee = behaviour.slots;
+    behaviour.coldSeconds = std::stod(FLAGS_cold_seconds);
+    return behaviour;
+}
+
+ServiceSettings serviceFromFlags()
+{
+    ServiceSettings settings;
+    settings.service = FLAGS_service;
+    settings.instance = FLAGS_instance;
+    if (!FLAGS_node.empty())
+        settings.node = parseEndpoint(FLAGS_node).value();
+    settings.next = FLAGS_next;
+    settings.fanOut = static_cast<std::uint32_t>(std::stoul(FLAGS_fan_out));
+    settings.longFactor = std::stod(FLAGS_long_factor);
+    settings.mayCrash = FLAGS_may_crash;
+    return settings;
+}
+
+/// Announces until a stop signal, then until the node says that nothing is in flight.
+void announceUntilStopped(const Endpoint &self)
+{
+    const bool hasNode = !FLAGS_node.empty();
+    Announcer announcer({hasNode ? parseEndpoint(FLAGS_node).value() : Endpoint{}, self,
+                         FLAGS_service, static_cast<std::uint32_t>(std::stoul(FLAGS_slots))});
+    if (hasNode)
+        announcer.start();
+    waitForStopSignal();
+    if (!hasNode)
+        return;
+    logEvent(LogLevel::Info, "leaving");
+    auto drained = std::make_shared<ReplySlot<bool>>();
+    announcer.post({drained});
+    if (!drained->takeWithin(leaveTimeout))
+        logEvent(LogLevel::Warning, "stopping-undrained");
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const ProgramInfo program{"buckthornford-upstream",
+                              "a stand-in for an upstream, with a ledger of what it ran", ""};
+    if (const auto status = readSettings(&argc, &argv, program, rules))
+        return *status;
+    blockStopSignals();
+    startLog(program.name);
+    Workshop workshop(behaviourFromFlags(), std::stoull(FLAGS_seed));
+    workshop.start();
+    Service service(serviceFromFlags(), &workshop);
+    HttpServerSettings http;
+    http.endpoint = parseEndpoint(FLAGS_listen).value();
+    http.threads = std::stoi(FLAGS_threads);
+    const auto server = HttpServer::listen(
+            http, [&service](const HttpRequest &request) { return service.handle(request); });
+    if (!server) {
+        logEvent(LogLevel::Error, "bind-failed", {{"endpoint", FLAGS_listen}});
+        return 1;
+    }
+    logEvent(LogLevel::Info, "started", {{"listen", FLAGS_listen}, {"service", FLAGS_service}});
+    announceUntilStopped(http.endpoint);
+    logEvent(LogLevel::Info, "stopped");
+    return 0;
+}
--- /dev/null
+++ b/programs/upstream/service.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "http/http.h"
+#include "upstream/workshop.h"
+
+#include <atomic>
+#include <string>
+
+namespace buckthornford {
+
+/// What the stand-in is and whom it calls.
+struct ServiceSettings
+{
+    std::string service;
+    std::string instance;
+    Endpoint node; ///< the upstream's door of its own node
+    std::string next; ///< service called by each execution; empty for none
+    std::uint32_t fanOut = 1; ///< calls to the next service
+    double longFactor = 50.0; ///< cost of operations whose name starts with "long"
+    bool mayCrash = false; ///< a request with "crash" in its body ends the process
+    bool dropsContext = false; ///< calls further down don't say for whom they are made
+};
+
+/// Answers requests: waits for the workshop, then calls the next service.
+class Service
+{
+public:
+    Service(ServiceSettings settings, Workshop *workshop);
+
+    HttpResponse handle(const HttpRequest &request);
+
+private:
+    HttpResponse execute(const HttpRequest &request);
+    HttpResponse callNext(const HttpRequest &request) const;
+    HttpResponse ledger();
+    HttpResponse counters();
+    HttpResponse changeBehaviour(const HttpRequest &request);
+
+    ServiceSettings m_settings;
+    Workshop *m_workshop;
+    std::atomic<bool> m_dropsContext;
+};
+
+} // namespace buckthornford
--- /dev/null
+++ b/programs/upstream/workshop.cpp
@@ -0,0 +1,129 @@
+#include "upstream/workshop.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthornford {
+
+Workshop::Workshop(Behaviour behaviour, std::uint64_t seed)
+    : m_behaviour(behaviour)
+    , m_random(seed)
+    , m_started(monotonicNow())
+{
+}
+
+void Workshop::handle(WorkshopMessage &&message, TimePoint now)
+{
+    std::visit([this, now](auto &&kind) { on(std::move(kind), now); }, std::move(message));
+}
+
+TimePoint Workshop::tick(TimePoint now)
+{
+    constexpr Duration idleInterval = std::chrono::seconds(1);
+    while (now >= m_stallEnd && !m_running.empty() && m_running.begin()->first <= now) {
+        Running running = std::move(m_running.begin()->second);
+        m_running.erase(m_running.begin());
+        const Ending ending = running.fails ? Ending::Failed : Ending::Done;
+        finish(std::move(running), ending);
+    }
+    startWaiting(now);
+    if (m_running.empty())
+        return now + idleInterval;
+    return std::max(m_stallEnd, m_running.begin()->first);
+}
+
+Duration Workshop::serviceTime(double costFactor, TimePoint now)
+{
+    constexpr double microsecondsPerMillisecond = 1000.0;
+    constexpr double microsecondsPerSecond = 1e6;
+    std::normal_distribution<double> noise(1.0, m_behaviour.spread);
+    double time = m_behaviour.meanMs * microsecondsPerMillisecond * costFactor;
+    time *= std::clamp(noise(m_random), 0.2, 3.0) * m_behaviour.slowFactor;
+    const auto running = static_cast<double>(m_running.size() + 1);
+    time *= std::max(1.0, running / m_behaviour.knee);
+    const double age = static_cast<double>((now - m_started).count()) / microsecondsPerSecond;
+    if (age < m_behaviour.coldSeconds)
+        time *= 1.0 + (m_behaviour.coldFactor - 1.0) * (1.0 - age / m_behaviour.coldSeconds);
+    return Duration{static_cast<Duration::rep>(time)};
+}
+
+void Workshop::startWaiting(TimePoint now)
+{
+    while (!m_waiting.empty() && m_running.size() < m_behaviour.slots) {
+        Running running{std::move(m_waiting.front()), now, false};
+        m_waiting.pop_front();
+        running.end = now + serviceTime(running.begun.costFactor, now);
+        running.fails = std::uniform_real_distribution<double>()(m_random) < m_behaviour.failShare;
+        ++m_ledger[running.begun.nonce].started;
+        ++m_counters.started;
+        const TimePoint end = running.end;
+        m_running.emplace(end, std::move(running));
+    }
+}
+
+void Workshop::finish(Running running, Ending ending)
+{
+    if (ending == Ending::Cancelled) {
+        ++m_counters.cancelled;
+    } else {
+        ++m_ledger[running.begun.nonce].ended;
+        ++m_counters.ended;
+    }
+    running.begun.reply->post(ending);
+}
+
+void Workshop::on(ExecutionBegun &&message, TimePoint now)
+{
+    if (m_running.size() + m_waiting.size() >= m_behaviour.shedAbove) {
+        ++m_counters.shed;
+        message.reply->post(Ending::Shed);
+        return;
+    }
+    m_waiting.push_back(std::move(message));
+    startWaiting(now);
+}
+
+void Workshop::on(ExecutionCancelled &&message, TimePoint)
+{
+    const auto isMeant = [&](const ExecutionBegun &begun) {
+        return begun.execution == message.execution;
+    };
+    const auto waiting = std::find_if(m_waiting.begin(), m_waiting.end(), isMeant);
+    if (waiting != m_waiting.end()) {
+        ++m_counters.shed;
+        waiting->reply->post(Ending::Shed);
+        m_waiting.erase(waiting);
+        return;
+    }
+    const auto running = std::find_if(m_running.begin(), m_running.end(), [&](const auto &entry) {
+        return isMeant(entry.second.begun);
+    });
+    if (running == m_running.end())
+        return;
+    Running cancelled = std::move(running->second);
+    m_running.erase(running);
+    finish(std::move(cancelled), Ending::Cancelled);
+}
+
+void Workshop::on(BehaviourChanged &&message, TimePoint now)
+{
+    m_behaviour = message.behaviour;
+    if (m_behaviour.stallUntilAfter > Duration{0})
+        m_stallEnd = now + std::exchange(m_behaviour.stallUntilAfter, Duration{0});
+}
+
+void Workshop::on(LedgerWanted &&message, TimePoint)
+{
+    message.reply->post(m_ledger);
+}
+
+void Workshop::on(CountersWanted &&message, TimePoint)
+{
+    CountersWanted::Counters counters = m_counters;
+    counters.running = static_cast<std::uint32_t>(m_running.size());
+    counters.waiting = static_cast<std::uint32_t>(m_waiting.size());
+    counters.behaviour = m_behaviour;
+    message.reply->post(counters);
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/admission/admission.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// Who gets a slot of an upstream: the limit on work in progress, and the order of the queue.
+
+#include "admission/cost.h"
+#include "admission/limiter.h"
+#include "admission/queue.h"
--- /dev/null
+++ b/src/admission/limiter.cpp
@@ -0,0 +1,152 @@
+#include "admission/admission.h"
+
+#include <algorithm>
+#include <array>
+
+namespace buckthornford {
+
+namespace {
+
+constexpr Duration windowLength = std::chrono::milliseconds(100);
+constexpr std::size_t minWindowSamples = 8;
+constexpr double coldStartShare = 0.2; ///< of the announced slots
+constexpr double minColdStart = 2.0;
+constexpr double growth = 1.15; ///< per window while the limit is reached
+constexpr double tolerableStretch = 1.5; ///< latency over the uncongested latency
+constexpr double minShrink = 0.7; ///< per window
+constexpr double shedShrink = 0.8;
+constexpr Duration minShrinkInterval = std::chrono::milliseconds(50);
+constexpr double floorDrift = 1.002; ///< per window, so that a slower upstream is learned
+constexpr double reachedShare = 0.8; ///< of the limit, to count as reached
+constexpr double latencyWeight = 0.1; ///< of a new sample in the typical latency
+constexpr double stallFactor = 8.0; ///< typical latencies without any end
+constexpr Duration minStall = std::chrono::milliseconds(500);
+
+using CreateFunction = std::unique_ptr<Limiter> (*)();
+
+/// In the order of LimiterKind.
+constexpr std::array<CreateFunction, 2> createFunctions{
+        []() -> std::unique_ptr<Limiter> { return std::make_unique<FixedLimiter>(); },
+        []() -> std::unique_ptr<Limiter> { return std::make_unique<AdaptiveLimiter>(); }};
+
+double median(std::vector<Duration> *values)
+{
+    const auto middle = values->begin() + static_cast<std::ptrdiff_t>(values->size() / 2);
+    std::nth_element(values->begin(), middle, values->end());
+    return static_cast<double>(middle->count());
+}
+
+} // namespace
+
+std::unique_ptr<Limiter> createLimiter(LimiterKind kind)
+{
+    return createFunctions[static_cast<std::size_t>(kind)]();
+}
+
+Slots AdaptiveLimiter::limit() const
+{
+    if (m_stalled)
+        return Slots{0};
+    return Slots{static_cast<std::uint32_t>(std::max(1.0, m_limit))};
+}
+
+void AdaptiveLimiter::announce(Slots slots, TimePoint now)
+{
+    m_ceiling = std::max<double>(1.0, slots.value());
+    if (m_isNew)
+        restart(now);
+    m_limit = std::min(m_limit, m_ceiling);
+}
+
+void AdaptiveLimiter::restart(TimePoint now)
+{
+    m_isNew = false;
+    m_stalled = false;
+    m_operations.clear();
+    m_samples = 0;
+    m_peakInFlight = 0;
+    m_typicalLatency = 0.0;
+    m_windowStart = now;
+    m_lastEnd = now;
+    m_limit = std::min(m_ceiling, std::max(minColdStart, m_ceiling * coldStartShare));
+}
+
+void AdaptiveLimiter::onStart(std::uint32_t inFlight, TimePoint now)
+{
+    if (inFlight <= 1)
+        m_lastEnd = now; // Idle until now, so nothing could end.
+    m_peakInFlight = std::max(m_peakInFlight, inFlight);
+}
+
+void AdaptiveLimiter::onEnd(const ExecutionSample &sample, std::uint32_t, TimePoint now)
+{
+    m_lastEnd = now;
+    if (std::exchange(m_stalled, false))
+        shrink(minShrink, now);
+    if (sample.end != ExecutionSample::End::Answered) {
+        shrink(shedShrink, now);
+        return;
+    }
+    const auto latency = static_cast<double>(sample.latency.count());
+    m_typicalLatency = m_typicalLatency == 0.0
+            ? latency
+            : m_typicalLatency + latencyWeight * (latency - m_typicalLatency);
+    m_operations[sample.operation].window.push_back(sample.latency);
+    ++m_samples;
+    if (now - m_windowStart >= windowLength && m_samples >= minWindowSamples)
+        closeWindow(now);
+}
+
+/// How much longer than uncongested this window's work took; 1 where nothing is known yet.
+double AdaptiveLimiter::windowStretch()
+{
+    double weighted = 0.0;
+    double weight = 0.0;
+    for (auto &[name, operation] : m_operations) {
+        if (operation.window.empty())
+            continue;
+        const auto count = static_cast<double>(operation.window.size());
+        const double latency = std::max(1.0, median(&operation.window));
+        const double floor = operation.floor ? *operation.floor * floorDrift : latency;
+        operation.floor = std::min(floor, latency);
+        weighted += count * latency / *operation.floor;
+        weight += count;
+        operation.window.clear();
+    }
+    return weight == 0.0 ? 1.0 : weighted / weight;
+}
+
+void AdaptiveLimiter::closeWindow(TimePoint now)
+{
+    const double stretch = windowStretch();
+    const bool isReached = m_peakInFlight >= reachedShare * m_limit;
+    if (stretch > tolerableStretch)
+        shrink(std::max(minShrink, tolerableStretch / stretch), now);
+    else if (isReached)
+        m_limit = std::min(m_ceiling, std::max(m_limit + 1.0, m_limit * growth));
+    m_samples = 0;
+    m_peakInFlight = 0;
+    m_windowStart = now;
+}
+
+void AdaptiveLimiter::shrink(double factor, TimePoint now)
+{
+    if (now - m_lastShrink < minShrinkInterval)
+        return;
+    m_lastShrink = now;
+    m_limit = std::max(1.0, m_limit * factor);
+}
+
+void AdaptiveLimiter::tick(std::uint32_t inFlight, TimePoint now)
+{
+    if (inFlight == 0) {
+        m_stalled = false;
+        return;
+    }
+    const auto patience = std::max(
+            minStall, Duration{static_cast<Duration::rep>(stallFactor * m_typicalLatency)});
+    if (!m_stalled && m_typicalLatency > 0.0 && now - m_lastEnd > patience)
+        m_stalled = true;
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/core/hash.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace buckthornford {
+
+/// XXH3 64-bit checksum of \a bytes, equal on every machine.
+std::uint64_t checksum(std::string_view bytes);
+
+/// Sixteen lower-case hexadecimal digits.
+std::string toHex(std::uint64_t value);
+
+/// A random 64-bit number from the operating system's generator; never 0.
+std::uint64_t randomNumber();
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/core/ids.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace buckthornford {
+
+/// A value of type T that converts to no other strong type; \a Tag tells the types apart.
+template <class T, class Tag>
+class Strong
+{
+public:
+    using Value = T;
+
+    constexpr Strong() = default;
+    constexpr explicit Strong(T value) : m_value(std::move(value)) { }
+
+    constexpr const T &value() const { return m_value; }
+
+    friend constexpr auto operator<=>(const Strong &, const Strong &) = default;
+    friend constexpr bool operator==(const Strong &, const Strong &) = default;
+    friend std::ostream &operator<<(std::ostream &out, const Strong &id)
+    {
+        return out << id.m_value;
+    }
+
+private:
+    T m_value{};
+};
+
+using InstanceId = Strong<std::string, struct InstanceTag>; ///< one machine and its slot
+using ServiceName = Strong<std::string, struct ServiceTag>;
+using ZoneName = Strong<std::string, struct ZoneTag>; ///< availability zone
+using RegionName = Strong<std::string, struct RegionTag>;
+using CallerName = Strong<std::string, struct CallerTag>;
+using ClassName = Strong<std::string, struct ClassTag>; ///< class of requests, ranked by presets
+using OperationName = Strong<std::string, struct OperationTag>; ///< kind of request in a service
+using PresetName = Strong<std::string, struct PresetTag>;
+using ChangeId = Strong<std::string, struct ChangeTag>; ///< operator's id of one change
+
+using RequestId = Strong<std::uint64_t, struct RequestTag>; ///< a call within its entry node
+using ExecutionId = Strong<std::uint64_t, struct ExecutionTag>; ///< a run within its node
+using AttemptNumber = Strong<std::uint32_t, struct AttemptTag>;
+using Revision = Strong<std::uint64_t, struct RevisionTag>; ///< of the configuration
+using Incarnation = Strong<std::uint64_t, struct IncarnationTag>; ///< start of a node process
+
+} // namespace buckthornford
+
+template <class T, class Tag>
+struct std::hash<buckthornford::Strong<T, Tag>>
+{
+    std::size_t operator()(const buckthornford::Strong<T, Tag> &id) const noexcept
+    {
+        return std::hash<T>{}(id.value());
+    }
+};
--- /dev/null
+++ b/src/entry/entry.h
@@ -0,0 +1,208 @@
+#pragma once
+
+/// The entry node's part: picks the target's node and owns deadline, retry budget and answer.
+/// No socket, no clock, no codec; driven by values, returns actions.
+
+#include "call/call.h"
+#include "execution/execution.h"
+#include "preset/preset.h"
+#include "retry/retry.h"
+#include "routing/routing.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace buckthornford {
+
+/// A request as it comes through a door.
+struct CallRequest
+{
+    Work work;
+    std::optional<Duration> timeout;
+    std::optional<ExecutionId> parent; ///< the execution that makes the call
+    bool isFromUpstream = false;
+    std::optional<TraceContext> trace;
+};
+
+/// How a request ended.
+struct CallResult
+{
+    Answer answer;
+    AttemptNumber attempts; ///< sent, hedges included
+    Span span;
+};
+
+struct SendRun
+{
+    PeerRef to;
+    Run run;
+};
+
+struct SendCancel
+{
+    PeerRef to;
+    RequestId request;
+    AttemptNumber attempt;
+};
+
+struct FinishCall
+{
+    RequestId request;
+    CallResult result;
+};
+
+using EntryAction = std::variant<SendRun, SendCancel, FinishCall>;
+using EntryActions = std::vector<EntryAction>;
+
+/// How an entry behaves; the policies are rows of a table.
+struct EntryPolicy
+{
+    RouterKind router = RouterKind::TwoChoices;
+    RetryChoice (*chooseRetry)(const AttemptEnd &) = buckthornford::chooseRetry;
+    std::optional<Tokens> fixedRetries; ///< at each hop, in place of the chain's budget
+    bool hedges = true;
+    bool usesKeys = true;
+};
+
+struct EntrySettings
+{
+    Place place;
+    EntryPolicy policy;
+    RetryRatio::Settings ratio;
+    Duration keyLife{std::chrono::seconds(60)};
+    Depth maxDepth{16};
+    std::uint64_t seed = 1;
+    double sampledShare = 0.01; ///< of the traces that start here
+};
+
+/// A live node as the directory of members knows it.
+struct DirectoryEntry
+{
+    PeerRef peer;
+    ServiceName service;
+};
+
+class Entry
+{
+public:
+    explicit Entry(EntrySettings settings);
+
+    /// Replaces the view of the other nodes: \a targets serve, \a directory are all that live.
+    void setView(const std::vector<Target> &targets, std::vector<DirectoryEntry> directory,
+                 TimePoint now);
+
+    EntryActions begin(RequestId id, CallRequest request, const ConfigurationHistory &history,
+                       TimePoint now, WallTime wall);
+    EntryActions answer(const InstanceId &from, Answer answer, TimePoint now, WallTime wall);
+
+    /// The stream to \a peer broke; attempts on it may or may not have arrived.
+    EntryActions peerLost(const InstanceId &peer, TimePoint now, WallTime wall);
+
+    /// No stream to \a peer could be opened; attempts on it were not sent.
+    EntryActions peerUnreachable(const InstanceId &peer, TimePoint now, WallTime wall);
+
+    /// The caller went away.
+    EntryActions cancel(RequestId id, TimePoint now, WallTime wall);
+
+    /// Does what is due: deadlines and hedges.
+    EntryActions tick(TimePoint now, WallTime wall);
+    TimePoint nextWake(TimePoint otherwise) const;
+
+    /// An execution at this node's upstream starts; its calls draw on what it was lent.
+    void beginExecution(ExecutionId id, const Run &run, TimePoint deadline);
+
+    /// Cancels the calls that the execution has open.
+    void cancelCallsOf(ExecutionId id, TimePoint now, WallTime wall, EntryActions *actions);
+
+    /// It ended; calls that it left open are cancelled.
+    ChainResult endExecution(ExecutionId id, TimePoint now, WallTime wall, EntryActions *actions);
+
+    /// Makes \a count keys at targets of \a service. Error::UnknownService or Error::NoTarget.
+    Result<std::vector<std::string>> makeKeys(const ServiceName &service, std::size_t count,
+                                              TimePoint now, WallTime wall);
+
+    std::size_t openCalls() const { return m_calls.size(); }
+
+private:
+    struct Attempt
+    {
+        AttemptNumber number;
+        PeerRef peer;
+        TimePoint sent;
+        Tokens lent;
+    };
+    struct Call
+    {
+        RequestId id;
+        Work work;
+        TimePoint entered;
+        TimePoint deadline;
+        Rank rank;
+        double spillShare = 0.0;
+        double hedgeShare = 0.0;
+        Revision revision;
+        Depth depth;
+        ChainBudget budget;
+        bool ownKey = false;
+        std::optional<ExecutionId> parent;
+        TraceContext trace;
+        std::uint64_t parentSpan = 0;
+        WallTime enteredWall;
+        std::vector<Attempt> open;
+        std::vector<InstanceId> tried;
+        std::uint32_t attempts = 0;
+        Duration queueWait{0};
+    };
+    struct Chain
+    {
+        Run run;
+        TimePoint deadline;
+        ChainBudget budget;
+        bool failedForGood = false;
+        std::vector<RequestId> calls;
+    };
+    struct Timer
+    {
+        RequestId id;
+        bool isDeadline = true;
+    };
+
+    std::optional<Error> fillFromParent(Call *call, const CallRequest &request,
+                                        const Configuration &configuration);
+    std::optional<Error> fillFromPreset(Call *call, const CallRequest &request,
+                                        const Configuration &configuration, TimePoint now);
+    void startTimers(const Call &call, TimePoint now);
+    void sendFirst(Call *call, EntryActions *actions, TimePoint now, WallTime wall);
+    void sendToAny(Call *call, EntryActions *actions, TimePoint now, WallTime wall);
+    void sendToKeyHome(Call *call, EntryActions *actions, TimePoint now);
+    void send(Call *call, const PeerRef &peer, EntryActions *actions, TimePoint now);
+    std::optional<PeerRef> alternateFor(const Call &call, const PeerRef &target, TimePoint now);
+    void hedge(Call *call, EntryActions *actions, TimePoint now);
+    void endAttempt(Call *call, const Attempt &attempt, Answer answer, bool wasSent,
+                    EntryActions *actions, TimePoint now, WallTime wall);
+    void goOn(Call *call, RetryChoice choice, const Attempt &attempt, Answer answer,
+              EntryActions *actions, TimePoint now, WallTime wall);
+    bool mayRetry(Call *call, RetryChoice choice);
+    void finish(Call *call, Answer answer, EntryActions *actions, TimePoint now, WallTime wall);
+    void finishRefused(Call *call, Error reason, Outcome outcome, EntryActions *actions,
+                       TimePoint now, WallTime wall);
+    EntryActions endAttemptsOn(const InstanceId &peer, Outcome outcome, Error reason, bool wasSent,
+                               TimePoint now, WallTime wall);
+    const DirectoryEntry *lookUp(const InstanceId &instance) const;
+    PickRequest pickRequest(const Call &call) const;
+
+    EntrySettings m_settings;
+    std::unique_ptr<Router> m_router;
+    RetryRatio m_ratio;
+    std::unordered_map<InstanceId, DirectoryEntry> m_directory;
+    std::unordered_map<RequestId, Call> m_calls;
+    std::unordered_map<ExecutionId, Chain> m_chains;
+    std::multimap<TimePoint, Timer> m_timers;
+    double m_hedgeCredit = 0.0;
+};
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/execution/execution.cpp
@@ -0,0 +1,179 @@
+#include "execution/execution.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace buckthornford {
+
+namespace {
+
+constexpr std::string_view keyPrefix = "bk1";
+constexpr char keySeparator = ':';
+constexpr std::size_t keyParts = 6;
+
+/// Clocks of entry and home may differ; a key may look this much younger than it is.
+constexpr Duration clockAllowance = std::chrono::seconds(10);
+
+bool parseHex(std::string_view text, std::uint64_t *value)
+{
+    const char *end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, *value, 16);
+    return error == std::errc() && rest == end;
+}
+
+/// Splits \a text into exactly keyParts parts.
+std::optional<std::array<std::string_view, keyParts>> splitKey(std::string_view text)
+{
+    std::array<std::string_view, keyParts> parts;
+    for (std::size_t i = 0; i < keyParts; ++i) {
+        const std::size_t end = text.find(keySeparator);
+        if ((end == std::string_view::npos) != (i + 1 == keyParts))
+            return std::nullopt;
+        parts[i] = text.substr(0, end);
+        text.remove_prefix(i + 1 == keyParts ? text.size() : end + 1);
+    }
+    return parts;
+}
+
+Answer unknownOutcome(const Run &run, Error reason)
+{
+    Answer answer = refusal(run, reason, false);
+    answer.outcome = Outcome::Unknown;
+    return answer;
+}
+
+WallTime later(WallTime time, Duration duration)
+{
+    return WallTime{time.value() + duration.count()};
+}
+
+} // namespace
+
+std::string ExecutionKey::toText() const
+{
+    std::string text(keyPrefix);
+    text += keySeparator + home.value() + keySeparator + toHex(incarnation.value()) + keySeparator
+            + toHex(static_cast<std::uint64_t>(expires.value())) + keySeparator + toHex(nonce);
+    return text + keySeparator + toHex(checksum(text));
+}
+
+Result<ExecutionKey> ExecutionKey::parse(std::string_view text)
+{
+    const auto parts = splitKey(text);
+    if (!parts || (*parts)[0] != keyPrefix || (*parts)[1].empty())
+        return Error::BadKey;
+    std::uint64_t incarnation = 0;
+    std::uint64_t expires = 0;
+    std::uint64_t nonce = 0;
+    std::uint64_t sum = 0;
+    if (!parseHex((*parts)[2], &incarnation) || !parseHex((*parts)[3], &expires)
+        || !parseHex((*parts)[4], &nonce) || !parseHex((*parts)[5], &sum))
+        return Error::BadKey;
+    if (checksum(text.substr(0, text.rfind(keySeparator))) != sum)
+        return Error::BadKey;
+    return ExecutionKey{InstanceId{std::string((*parts)[1])}, Incarnation{incarnation},
+                        WallTime{static_cast<std::int64_t>(expires)}, nonce};
+}
+
+ExecutionKey makeKey(const InstanceId &home, Incarnation incarnation, WallTime now, Duration life)
+{
+    return {home, incarnation, later(now, life), randomNumber()};
+}
+
+ExecutionRecord::ExecutionRecord(InstanceId self, Incarnation incarnation, Settings settings)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_settings(settings)
+{
+}
+
+std::optional<Answer> ExecutionRecord::judge(const ExecutionKey &key, const Run &run, WallTime now)
+{
+    if (key.home != m_self || key.incarnation != m_incarnation)
+        return unknownOutcome(run, Error::HomeGone);
+    if (key.expires <= now)
+        return unknownOutcome(run, Error::KeyExpired);
+    // Such a key may become acceptable later, so "not run" could turn out false.
+    if (key.expires > later(now, m_settings.keyLife + clockAllowance))
+        return unknownOutcome(run, Error::BadKey);
+    if (key.expires <= m_fence)
+        return refusal(run, Error::KeyRefused, true);
+    if (m_entries.size() < m_settings.maxEntries && m_keptBytes < m_settings.maxBytes.value())
+        return std::nullopt;
+    // The fence stands for an entry, which there is no room for.
+    m_fence = key.expires;
+    return refusal(run, Error::RecordFull, true);
+}
+
+ExecutionRecord::Verdict ExecutionRecord::admit(const Run &run, ReplyTo waiter, WallTime now)
+{
+    const auto found = m_entries.find(run.work.key);
+    if (found != m_entries.end()) {
+        ++m_resends;
+        Entry &entry = found->second;
+        if (!entry.answer) {
+            entry.waiters.push_back(waiter);
+            return Joined{};
+        }
+        Answer answer = *entry.answer;
+        answer.request = run.request;
+        answer.attempt = run.attempt;
+        answer.budgetLeft = run.budget;
+        answer.replayed = true;
+        return Settled{std::move(answer)};
+    }
+    const Result<ExecutionKey> key = ExecutionKey::parse(run.work.key);
+    if (!key)
+        return Settled{refusal(run, Error::BadKey, false)};
+    if (auto answer = judge(key.value(), run, now))
+        return Settled{std::move(*answer)};
+    Entry entry;
+    entry.waiters.push_back(waiter);
+    m_expiries.emplace(key.value().expires, run.work.key);
+    m_entries.emplace(run.work.key, std::move(entry));
+    return Fresh{};
+}
+
+std::vector<ReplyTo> ExecutionRecord::settle(std::string_view key, const Answer &answer)
+{
+    const auto found = m_entries.find(std::string(key));
+    if (found == m_entries.end())
+        return {};
+    Entry &entry = found->second;
+    entry.answer = answer;
+    // What ended for good must not invite a re-send of the same key.
+    if (answer.outcome == Outcome::NotRun && answer.reason != Error::KeyMoved)
+        entry.answer->retryable = false;
+    m_keptBytes += answer.body.size();
+    return std::exchange(entry.waiters, {});
+}
+
+bool ExecutionRecord::leave(std::string_view key, const ReplyTo &waiter)
+{
+    const auto found = m_entries.find(std::string(key));
+    if (found == m_entries.end())
+        return false;
+    std::erase(found->second.waiters, waiter);
+    return !found->second.waiters.empty();
+}
+
+void ExecutionRecord::expire(WallTime now)
+{
+    while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
+        const auto entry = m_entries.find(m_expiries.begin()->second);
+        // What still runs keeps its entry, so that its end finds the waiters.
+        if (!entry->second.answer) {
+            auto node = m_expiries.extract(m_expiries.begin());
+            node.key() = later(now, m_settings.keyLife);
+            m_expiries.insert(std::move(node));
+            continue;
+        }
+        m_keptBytes -= entry->second.answer->body.size();
+        m_entries.erase(entry);
+        m_expiries.erase(m_expiries.begin());
+    }
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/gate/gate.cpp
@@ -0,0 +1,301 @@
+#include "gate/gate.h"
+
+#include <algorithm>
+#include <array>
+
+namespace buckthornford {
+
+namespace {
+
+constexpr int firstServerError = 500;
+
+/// What one end at the upstream means for the caller.
+struct EndRow
+{
+    Outcome outcome;
+    Error reason;
+    bool retryable;
+};
+
+/// In the order of UpstreamResult::End; Answered depends on the status too.
+constexpr std::array<EndRow, 6> endRows{EndRow{Outcome::Completed, Error::None, false},
+                                        EndRow{Outcome::NotRun, Error::Shed, true},
+                                        EndRow{Outcome::NotRun, Error::UpstreamAbsent, true},
+                                        EndRow{Outcome::Unknown, Error::UpstreamLost, true},
+                                        EndRow{Outcome::Unknown, Error::AnswerCut, true},
+                                        EndRow{Outcome::Unknown, Error::AnswerLost, false}};
+
+std::uint64_t requestHash(const Run &run)
+{
+    return run.trace.traceLow ^ run.request.value();
+}
+
+} // namespace
+
+Gate::Gate(GateSettings settings)
+    : m_settings(std::move(settings))
+    , m_limiter(createLimiter(m_settings.policy.limiter))
+    , m_queue(m_settings.policy.order, m_settings.queueCapacity)
+    , m_record(m_settings.self, m_settings.incarnation, m_settings.record)
+    , m_nextExecution(randomNumber())
+{
+}
+
+void Gate::announce(Slots slots, bool isNew, TimePoint now)
+{
+    if (isNew)
+        m_limiter->restart(now);
+    m_limiter->announce(slots, now);
+    m_hasUpstream = true;
+}
+
+GateActions Gate::withdraw(TimePoint)
+{
+    GateActions actions;
+    m_hasUpstream = false;
+    for (const Claim &claim : m_queue.removeIf([](const Claim &) { return true; }))
+        refuse(claim.execution, Error::UpstreamAbsent, true, &actions);
+    return actions;
+}
+
+bool Gate::usesRecord(const Run &run) const
+{
+    return m_settings.policy.keepsRecord && !run.work.key.empty();
+}
+
+std::optional<Error> Gate::refusalReason(const Execution &execution, TimePoint now) const
+{
+    if (m_draining)
+        return Error::TargetLeaving;
+    if (!m_hasUpstream)
+        return Error::UpstreamAbsent;
+    if (execution.deadline <= now)
+        return Error::DeadlineExpired;
+    return std::nullopt;
+}
+
+Claim Gate::claimOf(ExecutionId id, const Execution &execution) const
+{
+    const Run &run = execution.run;
+    return {id,
+            execution.rank,
+            run.work.caller,
+            run.work.operation,
+            execution.arrived - run.age,
+            execution.deadline,
+            requestHash(run),
+            execution.isLong};
+}
+
+GateActions Gate::run(const Run &run, ReplyTo from, const Preset &preset, TimePoint now,
+                      WallTime wall)
+{
+    GateActions actions;
+    if (usesRecord(run)) {
+        auto verdict = m_record.admit(run, from, wall);
+        if (std::holds_alternative<ExecutionRecord::Joined>(verdict))
+            return actions;
+        if (auto *settled = std::get_if<ExecutionRecord::Settled>(&verdict)) {
+            settled->answer.load = load();
+            actions.emplace_back(Reply{from, std::move(settled->answer)});
+            return actions;
+        }
+    }
+    const ClassRule *rule = preset.findClass(run.work.className);
+    const ExecutionId id{m_nextExecution++};
+    Execution execution{run, from, rule == nullptr ? preset.lowestClass().rank : rule->rank,
+                        now, {},   now + run.timeLeft};
+    execution.isLong = m_settings.policy.reservesShort && m_costs.isLong(run.work.operation);
+    execution.shortShare = preset.shortShare;
+    const auto reason = refusalReason(execution, now);
+    m_byReply[from] = id;
+    const auto &stored = m_executions.emplace(id, std::move(execution)).first->second;
+    if (reason) {
+        refuse(id, *reason, *reason != Error::DeadlineExpired, &actions);
+        return actions;
+    }
+    if (!stored.isLong)
+        m_reserve.noteShortArrival(stored.rank, now);
+    if (run.revision > m_rulingRevision) {
+        m_rulingRevision = run.revision;
+        m_queue.setRuling(preset.ruling);
+    }
+    const auto evicted = m_queue.push(claimOf(id, stored));
+    startWaiting(&actions, now);
+    if (evicted)
+        refuse(*evicted, Error::QueueFull, true, &actions);
+    return actions;
+}
+
+bool Gate::isHopeless(const Claim &claim, TimePoint now) const
+{
+    return now + m_costs.expected(claim.operation) >= claim.deadline;
+}
+
+bool Gate::mayStart(const Claim &claim, TimePoint now) const
+{
+    if (!claim.isLong)
+        return true;
+    const double shortShare = m_executions.at(claim.execution).shortShare;
+    return m_reserve.mayStartLong(claim.rank, m_limiter->limit(), shortShare, now);
+}
+
+void Gate::startWaiting(GateActions *actions, TimePoint now)
+{
+    while (m_hasUpstream && m_inFlight < m_limiter->limit().value()) {
+        const auto claim =
+                m_queue.pop([this, now](const Claim &candidate) { return mayStart(candidate, now); });
+        if (!claim)
+            return;
+        if (m_settings.policy.dropsHopeless && isHopeless(*claim, now)) {
+            refuse(claim->execution, Error::DeadlineExpired, false, actions);
+            continue;
+        }
+        Execution &execution = m_executions.at(claim->execution);
+        execution.isRunning = true;
+        execution.started = now;
+        ++m_inFlight;
+        m_reserve.noteStart(execution.isLong);
+        m_limiter->onStart(m_inFlight, now);
+        actions->emplace_back(
+                StartExecution{claim->execution, execution.run, execution.deadline});
+    }
+}
+
+void Gate::refuse(ExecutionId id, Error reason, bool retryable, GateActions *actions)
+{
+    auto node = m_executions.extract(id);
+    const Execution &execution = node.mapped();
+    const Run &run = execution.run;
+    ++m_shed[execution.rank];
+    Answer answer = refusal(run, reason, retryable);
+    if (retryable && run.alternate && usesRecord(run)) {
+        const Result<ExecutionKey> key = ExecutionKey::parse(run.work.key);
+        const PeerRef &next = *run.alternate;
+        answer.reason = Error::KeyMoved;
+        answer.movedKey = ExecutionKey{next.instance, next.incarnation, key.value().expires,
+                                       randomNumber()}
+                                  .toText();
+    }
+    settle(execution, std::move(answer), actions);
+}
+
+void Gate::settle(const Execution &execution, Answer answer, GateActions *actions)
+{
+    m_byReply.erase(execution.from);
+    answer.load = load();
+    std::vector<ReplyTo> waiters{execution.from};
+    if (usesRecord(execution.run))
+        waiters = m_record.settle(execution.run.work.key, answer);
+    for (const ReplyTo &waiter : waiters) {
+        Answer copy = answer;
+        copy.request = waiter.request;
+        copy.attempt = waiter.attempt;
+        if (waiter != execution.from)
+            copy.budgetLeft = Tokens{0};
+        actions->emplace_back(Reply{waiter, std::move(copy)});
+    }
+}
+
+GateActions Gate::cancel(ReplyTo from, TimePoint)
+{
+    GateActions actions;
+    const auto found = m_byReply.find(from);
+    if (found == m_byReply.end())
+        return actions;
+    const ExecutionId id = found->second;
+    const Execution &execution = m_executions.at(id);
+    if (usesRecord(execution.run) && m_record.leave(execution.run.work.key, from))
+        return actions;
+    if (m_queue.remove(id))
+        refuse(id, Error::Cancelled, false, &actions);
+    else
+        actions.emplace_back(CancelExecution{id});
+    return actions;
+}
+
+void Gate::endSlot(const Execution &execution, const UpstreamResult &result, TimePoint now)
+{
+    using End = UpstreamResult::End;
+    --m_inFlight;
+    m_reserve.noteEnd(execution.isLong);
+    const OperationName &operation = execution.run.work.operation;
+    ExecutionSample sample{operation, result.latency, ExecutionSample::End::Answered};
+    if (result.end == End::Shed)
+        sample.end = ExecutionSample::End::Shed;
+    else if (result.end != End::Answered)
+        sample.end = ExecutionSample::End::Lost;
+    else if (result.status < firstServerError)
+        m_costs.record(operation, result.latency);
+    m_limiter->onEnd(sample, m_inFlight, now);
+}
+
+Answer Gate::answerOf(const Execution &execution, UpstreamResult result, ChainResult chain) const
+{
+    const EndRow &row = endRows[static_cast<std::size_t>(result.end)];
+    const Run &run = execution.run;
+    Answer answer = refusal(run, row.reason, row.retryable && !chain.failedForGood);
+    answer.outcome = row.outcome;
+    if (result.end == UpstreamResult::End::Answered && result.status >= firstServerError) {
+        answer.outcome = Outcome::Failed;
+        answer.reason = Error::UpstreamFailed;
+        answer.retryable = run.work.idempotent && !chain.failedForGood;
+    }
+    answer.status = result.status;
+    answer.contentType = std::move(result.contentType);
+    answer.body = std::move(result.body);
+    answer.bodyChecksum = checksum(answer.body);
+    answer.budgetLeft = chain.budgetLeft;
+    answer.queueWait = execution.started - execution.arrived;
+    return answer;
+}
+
+GateActions Gate::finish(UpstreamResult result, ChainResult chain, TimePoint now)
+{
+    GateActions actions;
+    auto node = m_executions.extract(result.execution);
+    if (node.empty())
+        return actions;
+    const Execution &execution = node.mapped();
+    endSlot(execution, result, now);
+    const bool wasNotRun = result.end == UpstreamResult::End::Shed
+            || result.end == UpstreamResult::End::NotSent;
+    if (wasNotRun) {
+        const Error reason = endRows[static_cast<std::size_t>(result.end)].reason;
+        const ExecutionId id = result.execution;
+        m_executions.insert(std::move(node));
+        refuse(id, reason, true, &actions);
+    } else {
+        settle(execution, answerOf(execution, std::move(result), chain), &actions);
+    }
+    startWaiting(&actions, now);
+    return actions;
+}
+
+GateActions Gate::tick(TimePoint now, WallTime wall)
+{
+    GateActions actions;
+    m_limiter->tick(m_inFlight, now);
+    m_record.expire(wall);
+    if (m_settings.policy.dropsHopeless) {
+        const auto hopeless = m_queue.removeIf(
+                [this, now](const Claim &claim) { return isHopeless(claim, now); });
+        for (const Claim &claim : hopeless)
+            refuse(claim.execution, Error::DeadlineExpired, false, &actions);
+    }
+    startWaiting(&actions, now);
+    return actions;
+}
+
+LoadReport Gate::load() const
+{
+    return {m_inFlight, m_limiter->limit().value(), static_cast<std::uint32_t>(m_queue.size())};
+}
+
+std::uint64_t Gate::shedCount(Rank rank) const
+{
+    const auto found = m_shed.find(rank);
+    return found == m_shed.end() ? 0 : found->second;
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/gate/gate.h
@@ -0,0 +1,151 @@
+#pragma once
+
+/// The sole gate of one upstream: decides admission and owns the truth about execution.
+/// No socket, no clock, no codec; gates are driven by values and return actions.
+
+#include "admission/admission.h"
+#include "call/call.h"
+#include "execution/execution.h"
+#include "preset/preset.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace buckthornford {
+
+/// How a gate behaves; the policies are rows of a table.
+struct GatePolicy
+{
+    LimiterKind limiter = LimiterKind::Adaptive;
+    QueueOrder order = QueueOrder::Ranked;
+    bool keepsRecord = true; ///< keyed requests run at most once
+    bool dropsHopeless = true; ///< what can't meet its deadline never takes a slot
+    bool reservesShort = true; ///< long work leaves slots to short work
+};
+
+struct GateSettings
+{
+    InstanceId self;
+    Incarnation incarnation;
+    GatePolicy policy;
+    ExecutionRecord::Settings record;
+    std::size_t queueCapacity = 512;
+};
+
+/// How an execution ended at the upstream.
+struct UpstreamResult
+{
+    enum class End {
+        Answered, ///< a whole answer, whatever its status
+        Shed, ///< refused by the upstream before it ran
+        NotSent, ///< the connection could not be opened, so nothing was sent
+        Lost, ///< the connection broke after the request was sent
+        Cut, ///< the answer broke off
+        TimedOut, ///< no answer before the deadline
+    };
+
+    ExecutionId execution;
+    End end = End::Answered;
+    int status = 0;
+    std::string contentType;
+    std::string body;
+    Duration latency{0};
+};
+
+/// Ask the upstream to run \a run.
+struct StartExecution
+{
+    ExecutionId execution;
+    Run run;
+    TimePoint deadline;
+};
+
+/// Ask the upstream to give up; its end is reported all the same.
+struct CancelExecution
+{
+    ExecutionId execution;
+};
+
+struct Reply
+{
+    ReplyTo to;
+    Answer answer;
+};
+
+using GateAction = std::variant<StartExecution, CancelExecution, Reply>;
+using GateActions = std::vector<GateAction>;
+
+class Gate
+{
+public:
+    explicit Gate(GateSettings settings);
+
+    /// The upstream is there and has \a slots; \a isNew if it has started anew.
+    void announce(Slots slots, bool isNew, TimePoint now);
+
+    /// The upstream is gone; queued work is refused, running work ends by its own.
+    GateActions withdraw(TimePoint now);
+
+    /// No new work from now on; what is queued and running is finished.
+    void startDraining() { m_draining = true; }
+    void stopDraining() { m_draining = false; }
+    bool isDraining() const { return m_draining; }
+    bool isIdle() const { return m_executions.empty(); }
+    bool hasUpstream() const { return m_hasUpstream; }
+
+    GateActions run(const Run &run, ReplyTo from, const Preset &preset, TimePoint now,
+                    WallTime wall);
+    GateActions cancel(ReplyTo from, TimePoint now);
+    GateActions finish(UpstreamResult result, ChainResult chain, TimePoint now);
+    GateActions tick(TimePoint now, WallTime wall);
+
+    LoadReport load() const;
+    const ExecutionRecord &record() const { return m_record; }
+    std::uint64_t shedCount(Rank rank) const;
+
+private:
+    struct Execution
+    {
+        Run run;
+        ReplyTo from;
+        Rank rank;
+        TimePoint arrived;
+        TimePoint started;
+        TimePoint deadline;
+        double shortShare = 0.0;
+        bool isRunning = false;
+        bool isLong = false;
+    };
+
+    std::optional<Error> refusalReason(const Execution &execution, TimePoint now) const;
+    bool isHopeless(const Claim &claim, TimePoint now) const;
+    Claim claimOf(ExecutionId id, const Execution &execution) const;
+    void startWaiting(GateActions *actions, TimePoint now);
+    bool mayStart(const Claim &claim, TimePoint now) const;
+    void refuse(ExecutionId id, Error reason, bool retryable, GateActions *actions);
+    void settle(const Execution &execution, Answer answer, GateActions *actions);
+    void endSlot(const Execution &execution, const UpstreamResult &result, TimePoint now);
+    Answer answerOf(const Execution &execution, UpstreamResult result, ChainResult chain) const;
+    bool usesRecord(const Run &run) const;
+
+    GateSettings m_settings;
+    std::unique_ptr<Limiter> m_limiter;
+    ClaimQueue m_queue;
+    ExecutionRecord m_record;
+    CostBook m_costs;
+    ShortReserve m_reserve;
+    std::unordered_map<ExecutionId, Execution> m_executions;
+    std::map<ReplyTo, ExecutionId> m_byReply;
+    std::map<Rank, std::uint64_t> m_shed;
+    Revision m_rulingRevision;
+    std::uint64_t m_nextExecution;
+    std::uint32_t m_inFlight = 0;
+    bool m_hasUpstream = false;
+    bool m_draining = false;
+};
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/link/client.cpp
@@ -0,0 +1,258 @@
+#include "link/outbox_p.h"
+
+#include "link/peer.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <atomic>
+#include <condition_variable>
+
+namespace buckthornford {
+
+/// Lets a client wait until gRPC has ended all its streams.
+class LinkClient::Count
+{
+public:
+    void add()
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_count;
+    }
+
+    void remove()
+    {
+        // Notifies under the lock: the waiter may destroy this as soon as it wakes.
+        const std::lock_guard lock(m_mutex);
+        --m_count;
+        m_changed.notify_all();
+    }
+
+    void waitForZero()
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait(lock, [this] { return m_count == 0; });
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::size_t m_count = 0;
+};
+
+namespace {
+
+ChannelId nextChannel()
+{
+    static std::atomic<std::uint64_t> last{0};
+    return ChannelId{++last};
+}
+
+std::shared_ptr<grpc::Channel> createChannel(const std::string &address)
+{
+    grpc::ChannelArguments arguments;
+    // A new stream must mean a new connection: an old one may have gone silent.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+    return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+}
+
+/// A stream that this node opened. It keeps itself until gRPC calls OnDone.
+class ClientStream : public grpc::ClientBidiReactor<wire::Batch, wire::Batch>,
+                     public std::enable_shared_from_this<ClientStream>
+{
+public:
+    ClientStream(PeerRef peer, ClientEvents *events, std::function<void()> done)
+        : m_peer(std::move(peer))
+        , m_done(std::move(done))
+        , m_events(events)
+        , m_id(nextChannel())
+        , m_channel(createChannel(m_peer.address))
+        , m_stub(wire::PeerDoor::NewStub(m_channel))
+    {
+    }
+
+    void begin(const PeerRef &self)
+    {
+        m_keep = shared_from_this();
+        m_stub->async()->Link(&m_context, this);
+        StartRead(&m_in);
+        AddHold(); // Writes start outside of gRPC's callbacks.
+        StartCall();
+        post(Hello{self});
+    }
+
+    void post(const Frame &frame)
+    {
+        if (m_outbox.post(frame))
+            StartWrite(m_outbox.batch());
+    }
+
+    /// Ends the stream; onEnded follows.
+    void abandon() { m_context.TryCancel(); }
+
+    ChannelId id() const { return m_id; }
+    bool isOpen() const { return m_open; }
+    TimePoint lastReceived() const { return TimePoint{Duration{m_lastReceived.load()}}; }
+
+    void OnReadDone(bool ok) override
+    {
+        if (!ok) {
+            if (!m_outbox.close())
+                releaseOnce();
+            return;
+        }
+        m_lastReceived = monotonicNow().time_since_epoch().count();
+        for (wire::Frame &encoded : *m_in.mutable_frames()) {
+            std::optional<Frame> frame = decode(&encoded);
+            if (!frame)
+                continue;
+            if (std::holds_alternative<Hello>(*frame))
+                m_open = true;
+            if (!std::holds_alternative<Pong>(*frame))
+                m_events->onFrame(m_peer.instance, std::move(*frame));
+        }
+        StartRead(&m_in);
+    }
+
+    void OnWriteDone(bool ok) override
+    {
+        if (m_outbox.written()) {
+            StartWrite(m_outbox.batch());
+            return;
+        }
+        if (!ok || m_outbox.isClosed()) {
+            m_outbox.close();
+            releaseOnce();
+        }
+    }
+
+    void OnDone(const grpc::Status &) override
+    {
+        m_outbox.close();
+        m_events->onEnded(m_peer.instance, m_id, m_open);
+        const std::function<void()> done = m_done;
+        m_keep.reset();
+        done();
+    }
+
+private:
+    void releaseOnce()
+    {
+        if (!m_released.exchange(true))
+            RemoveHold();
+    }
+
+    PeerRef m_peer;
+    std::function<void()> m_done;
+    ClientEvents *m_events;
+    ChannelId m_id;
+    std::shared_ptr<grpc::Channel> m_channel;
+    std::unique_ptr<wire::PeerDoor::Stub> m_stub;
+    grpc::ClientContext m_context;
+    wire::Batch m_in;
+    Outbox m_outbox;
+    std::atomic<bool> m_open{false};
+    std::atomic<bool> m_released{false};
+    std::atomic<Duration::rep> m_lastReceived{0};
+    std::shared_ptr<ClientStream> m_keep;
+};
+
+} // namespace
+
+struct LinkClient::Stream
+{
+    PeerRef peer;
+    std::shared_ptr<ClientStream> stream;
+    TimePoint opened;
+    TimePoint lastSent;
+    TimePoint lastPing;
+    bool isAbandoned = false;
+};
+
+LinkClient::LinkClient(PeerRef self, ClientEvents *events, Settings settings)
+    : m_self(std::move(self))
+    , m_events(events)
+    , m_settings(settings)
+    , m_alive(std::make_shared<Count>())
+{
+}
+
+LinkClient::~LinkClient()
+{
+    for (auto &[instance, stream] : m_streams)
+        stream.stream->abandon();
+    m_streams.clear();
+    m_alive->waitForZero();
+}
+
+void LinkClient::open(const PeerRef &peer, TimePoint now)
+{
+    m_alive->add();
+    auto stream = std::make_shared<ClientStream>(peer, m_events,
+                                                 [count = m_alive] { count->remove(); });
+    m_streams[peer.instance] = Stream{peer, stream, now, now, now};
+    stream->begin(m_self);
+}
+
+void LinkClient::send(const PeerRef &peer, const Frame &frame, TimePoint now)
+{
+    auto found = m_streams.find(peer.instance);
+    const bool isOther = found != m_streams.end()
+            && (found->second.peer.incarnation != peer.incarnation
+                || found->second.peer.address != peer.address);
+    if (isOther) {
+        // Its end is reported, and then taken as that of a stream no longer current.
+        found->second.stream->abandon();
+        m_streams.erase(found);
+        found = m_streams.end();
+    }
+    if (found == m_streams.end()) {
+        open(peer, now);
+        found = m_streams.find(peer.instance);
+    }
+    found->second.lastSent = now;
+    found->second.stream->post(frame);
+}
+
+bool LinkClient::post(const InstanceId &peer, const Frame &frame, TimePoint now)
+{
+    const auto found = m_streams.find(peer);
+    if (found == m_streams.end())
+        return false;
+    found->second.lastSent = now;
+    found->second.stream->post(frame);
+    return true;
+}
+
+bool LinkClient::forget(const InstanceId &peer, ChannelId channel)
+{
+    const auto found = m_streams.find(peer);
+    if (found == m_streams.end() || found->second.stream->id() != channel)
+        return false;
+    m_streams.erase(found);
+    return true;
+}
+
+void LinkClient::tick(TimePoint now)
+{
+    for (auto &[instance, stream] : m_streams) {
+        if (stream.isAbandoned)
+            continue;
+        const bool isOpen = stream.stream->isOpen();
+        const TimePoint heard = std::max(stream.opened, stream.stream->lastReceived());
+        const Duration limit = isOpen ? m_settings.silenceLimit : m_settings.connectLimit;
+        const bool isIdle = now - stream.lastSent > m_settings.idleLimit;
+        if (now - heard > limit || isIdle) {
+            stream.isAbandoned = true;
+            stream.stream->abandon();
+            continue;
+        }
+        if (isOpen && now - stream.lastPing >= m_settings.pingInterval) {
+            stream.lastPing = now;
+            stream.stream->post(Ping{});
+        }
+    }
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/link/codec.cpp
@@ -0,0 +1,250 @@
+#include "link/codec_p.h"
+
+namespace buckthornford {
+
+namespace {
+
+void encodePeer(const PeerRef &peer, wire::Peer *out)
+{
+    out->set_instance(peer.instance.value());
+    out->set_incarnation(peer.incarnation.value());
+    out->set_address(peer.address);
+}
+
+PeerRef decodePeer(const wire::Peer &peer)
+{
+    return {InstanceId{peer.instance()}, Incarnation{peer.incarnation()}, peer.address()};
+}
+
+void encodeKind(const Hello &hello, wire::Frame *out)
+{
+    encodePeer(hello.peer, out->mutable_hello()->mutable_peer());
+}
+
+void encodeKind(const Run &run, wire::Frame *frame)
+{
+    wire::Run *out = frame->mutable_run();
+    const Work &work = run.work;
+    out->set_request(run.request.value());
+    out->set_attempt(run.attempt.value());
+    out->set_service(work.service.value());
+    out->set_operation(work.operation.value());
+    out->set_method(work.method);
+    out->set_query(work.query);
+    out->set_class_name(work.className.value());
+    out->set_caller(work.caller.value());
+    out->set_idempotent(work.idempotent);
+    out->set_key(work.key);
+    out->set_content_type(work.contentType);
+    out->set_body(work.body);
+    out->set_body_checksum(checksum(work.body));
+    out->set_time_left_us(run.timeLeft.count());
+    out->set_age_us(run.age.count());
+    out->set_budget(run.budget.value());
+    out->set_depth(run.depth.value());
+    out->set_revision(run.revision.value());
+    wire::Trace *trace = out->mutable_trace();
+    trace->set_trace_high(run.trace.traceHigh);
+    trace->set_trace_low(run.trace.traceLow);
+    trace->set_span(run.trace.span);
+    trace->set_sampled(run.trace.sampled);
+    if (run.alternate)
+        encodePeer(*run.alternate, out->mutable_alternate());
+}
+
+std::optional<Frame> decodeRun(wire::Run *in)
+{
+    if (checksum(in->body()) != in->body_checksum())
+        return std::nullopt;
+    Run run;
+    run.request = RequestId{in->request()};
+    run.attempt = AttemptNumber{in->attempt()};
+    run.work = Work{ServiceName{in->service()},
+                    OperationName{in->operation()},
+                    in->method(),
+                    in->query(),
+                    ClassName{in->class_name()},
+                    CallerName{in->caller()},
+                    in->idempotent(),
+                    in->key(),
+                    in->content_type(),
+                    std::move(*in->mutable_body())};
+    run.timeLeft = Duration{in->time_left_us()};
+    run.age = Duration{in->age_us()};
+    run.budget = Tokens{in->budget()};
+    run.depth = Depth{in->depth()};
+    run.revision = Revision{in->revision()};
+    const wire::Trace &trace = in->trace();
+    run.trace = {trace.trace_high(), trace.trace_low(), trace.span(), trace.sampled()};
+    if (in->has_alternate())
+        run.alternate = decodePeer(in->alternate());
+    return run;
+}
+
+void encodeKind(const Answer &answer, wire::Frame *frame)
+{
+    wire::Answer *out = frame->mutable_answer();
+    out->set_request(answer.request.value());
+    out->set_attempt(answer.attempt.value());
+    out->set_outcome(static_cast<std::uint32_t>(answer.outcome));
+    out->set_reason(static_cast<std::uint32_t>(answer.reason));
+    out->set_retryable(answer.retryable);
+    out->set_status(static_cast<std::uint32_t>(answer.status));
+    out->set_content_type(answer.contentType);
+    out->set_body(answer.body);
+    out->set_body_checksum(answer.bodyChecksum);
+    out->set_moved_key(answer.movedKey);
+    out->set_budget_left(answer.budgetLeft.value());
+    out->set_in_flight(answer.load.inFlight);
+    out->set_limit(answer.load.limit);
+    out->set_queued(answer.load.queued);
+    out->set_queue_wait_us(answer.queueWait.count());
+    out->set_replayed(answer.replayed);
+}
+
+std::optional<Frame> decodeAnswer(wire::Answer *in)
+{
+    if (in->outcome() > static_cast<std::uint32_t>(Outcome::Unknown)
+        || in->reason() > static_cast<std::uint32_t>(Error::Internal))
+        return std::nullopt;
+    Answer answer;
+    answer.request = RequestId{in->request()};
+    answer.attempt = AttemptNumber{in->attempt()};
+    answer.outcome = static_cast<Outcome>(in->outcome());
+    answer.reason = static_cast<Error>(in->reason());
+    answer.retryable = in->retryable();
+    answer.status = static_cast<int>(in->status());
+    answer.contentType = in->content_type();
+    answer.body = std::move(*in->mutable_body());
+    answer.bodyChecksum = in->body_checksum();
+    answer.movedKey = in->moved_key();
+    answer.budgetLeft = Tokens{in->budget_left()};
+    answer.load = {in->in_flight(), in->limit(), in->queued()};
+    answer.queueWait = Duration{in->queue_wait_us()};
+    answer.replayed = in->replayed();
+    return answer;
+}
+
+void encodeKind(const Cancel &cancel, wire::Frame *out)
+{
+    out->mutable_cancel()->set_request(cancel.request.value());
+    out->mutable_cancel()->set_attempt(cancel.attempt.value());
+}
+
+void encodeMember(const Member &member, wire::Member *out)
+{
+    encodePeer(member.peer, out->mutable_peer());
+    out->set_version(member.version);
+    out->set_state(static_cast<std::uint32_t>(member.state));
+    out->set_service(member.service.value());
+    out->set_zone(member.zone.value());
+    out->set_region(member.region.value());
+    out->set_slots(member.slots.value());
+    out->set_callers_address(member.callersAddress);
+    out->set_operator_address(member.operatorAddress);
+}
+
+std::optional<Member> decodeMember(const wire::Member &in)
+{
+    if (in.state() > static_cast<std::uint32_t>(MemberState::Left) || in.peer().instance().empty())
+        return std::nullopt;
+    return Member{decodePeer(in.peer()),
+                  in.version(),
+                  static_cast<MemberState>(in.state()),
+                  ServiceName{in.service()},
+                  ZoneName{in.zone()},
+                  RegionName{in.region()},
+                  Slots{in.slots()},
+                  in.callers_address(),
+                  in.operator_address()};
+}
+
+void encodeKind(const Gossip &gossip, wire::Frame *frame)
+{
+    wire::Gossip *out = frame->mutable_gossip();
+    for (const Member &member : gossip.members)
+        encodeMember(member, out->add_members());
+    for (const std::uint64_t hash : gossip.bucketHashes)
+        out->add_bucket_hashes(hash);
+    out->set_wants_hashes(gossip.wantsHashes);
+    out->set_revision(gossip.revision.value());
+    out->set_configuration(gossip.configuration);
+}
+
+std::optional<Frame> decodeGossip(const wire::Gossip &in)
+{
+    Gossip gossip;
+    for (const wire::Member &member : in.members()) {
+        if (auto decoded = decodeMember(member))
+            gossip.members.push_back(std::move(*decoded));
+    }
+    gossip.bucketHashes.assign(in.bucket_hashes().begin(), in.bucket_hashes().end());
+    gossip.wantsHashes = in.wants_hashes();
+    gossip.revision = Revision{in.revision()};
+    gossip.configuration = in.configuration();
+    return gossip;
+}
+
+void encodeKind(const Ping &, wire::Frame *out)
+{
+    out->mutable_ping();
+}
+
+void encodeKind(const Pong &, wire::Frame *out)
+{
+    out->mutable_pong();
+}
+
+} // namespace
+
+void encode(const Frame &frame, wire::Frame *out)
+{
+    std::visit([out](const auto &kind) { encodeKind(kind, out); }, frame);
+}
+
+std::optional<Frame> decode(wire::Frame *frame)
+{
+    switch (frame->kind_case()) {
+    case wire::Frame::kHello:
+        return Hello{decodePeer(frame->hello().peer())};
+    case wire::Frame::kRun:
+        return decodeRun(frame->mutable_run());
+    case wire::Frame::kAnswer:
+        return decodeAnswer(frame->mutable_answer());
+    case wire::Frame::kCancel:
+        return Cancel{RequestId{frame->cancel().request()},
+                      AttemptNumber{frame->cancel().attempt()}};
+    case wire::Frame::kGossip:
+        return decodeGossip(frame->gossip());
+    case wire::Frame::kPing:
+        return Ping{};
+    case wire::Frame::kPong:
+        return Pong{};
+    case wire::Frame::KIND_NOT_SET:
+        break;
+    }
+    return std::nullopt;
+}
+
+std::string encodeBatch(const std::vector<Frame> &frames)
+{
+    wire::Batch batch;
+    for (const Frame &frame : frames)
+        encode(frame, batch.add_frames());
+    return batch.SerializeAsString();
+}
+
+Result<std::vector<Frame>> decodeBatch(std::string_view bytes)
+{
+    wire::Batch batch;
+    if (!batch.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return Error::Internal;
+    std::vector<Frame> frames;
+    for (wire::Frame &frame : *batch.mutable_frames()) {
+        if (auto decoded = decode(&frame))
+            frames.push_back(std::move(*decoded));
+    }
+    return frames;
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,314 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+namespace buckthornford {
+
+namespace {
+
+constexpr std::size_t readersPerZone = 2;
+
+/// How much a state outweighs others of the same version.
+int severity(MemberState state)
+{
+    static constexpr std::array<int, 6> severities{0, 0, 0, 1, 2, 3};
+    return severities[static_cast<std::size_t>(state)];
+}
+
+std::uint64_t ringPosition(const InstanceId &instance)
+{
+    return checksum("ring/" + instance.value());
+}
+
+PeerRef seedPeer(const std::string &address)
+{
+    return {InstanceId{"@" + address}, Incarnation{0}, address};
+}
+
+} // namespace
+
+std::string_view memberStateName(MemberState state)
+{
+    static constexpr std::array<std::string_view, 6> names{"joining", "serving", "leaving",
+                                                           "suspect", "dead",    "left"};
+    return names[static_cast<std::size_t>(state)];
+}
+
+bool supersedes(const Member &a, const Member &b)
+{
+    const auto key = [](const Member &member) {
+        return std::tuple(member.peer.incarnation, member.version, severity(member.state));
+    };
+    return key(a) > key(b);
+}
+
+Membership::Membership(Member self, std::vector<std::string> seeds, Settings settings)
+    : m_self(std::move(self))
+    , m_seeds(std::move(seeds))
+    , m_settings(settings)
+    , m_random(settings.seed)
+{
+    std::erase(m_seeds, m_self.peer.address);
+}
+
+std::size_t Membership::bucketOf(const InstanceId &instance)
+{
+    return checksum(instance.value()) % bucketCount;
+}
+
+Membership::Sendings Membership::announce(MemberState state, Slots slots,
+                                          const ServiceName &service)
+{
+    m_self.state = state;
+    m_self.slots = slots;
+    m_self.service = service;
+    ++m_self.version;
+    ++m_changes;
+    return flood({m_self}, std::nullopt);
+}
+
+/// Answers a rumour of this node's own death, or of a version that it doesn't remember.
+void Membership::refute(const Member &rumour)
+{
+    m_self.version = std::max(m_self.version, rumour.version) + 1;
+    ++m_changes;
+}
+
+bool Membership::merge(const Member &member, TimePoint now)
+{
+    const auto found = m_others.find(member.peer.instance);
+    if (found != m_others.end() && !supersedes(member, found->second.member))
+        return false;
+    m_others.insert_or_assign(member.peer.instance, Known{member, now});
+    ++m_changes;
+    return true;
+}
+
+Membership::Sendings Membership::receive(const PeerRef &from, const Gossip &gossip, TimePoint now)
+{
+    std::vector<Member> news;
+    for (const Member &member : gossip.members) {
+        if (member.peer.instance != m_self.peer.instance) {
+            if (merge(member, now))
+                news.push_back(member);
+        } else if (supersedes(member, m_self)) {
+            refute(member);
+            news.push_back(m_self);
+        }
+    }
+    Gossip reply;
+    if (!gossip.bucketHashes.empty())
+        reply.members = membersInDiffering(gossip.bucketHashes);
+    if (gossip.wantsHashes && !reply.members.empty())
+        reply.bucketHashes = bucketHashes();
+    if (gossip.revision < m_revision && !gossip.bucketHashes.empty())
+        reply.configuration = m_configuration;
+    reply.revision = m_revision;
+    Sendings sendings;
+    if (!reply.members.empty() || !reply.configuration.empty())
+        sendings.push_back({from, std::move(reply)});
+    if (!news.empty()) {
+        Sendings others = flood(news, from.instance);
+        std::move(others.begin(), others.end(), std::back_inserter(sendings));
+    }
+    return sendings;
+}
+
+Membership::Sendings Membership::suspect(const InstanceId &instance, TimePoint now)
+{
+    const auto found = m_others.find(instance);
+    if (found == m_others.end() || found->second.member.state >= MemberState::Suspect)
+        return {};
+    Member rumour = found->second.member;
+    rumour.state = MemberState::Suspect;
+    merge(rumour, now);
+    return flood({rumour}, std::nullopt);
+}
+
+Membership::Sendings Membership::spread(const Configuration &configuration,
+                                        const std::optional<InstanceId> &except)
+{
+    setRevision(configuration.revision, toJsonText(configuration));
+    Sendings sendings;
+    for (const PeerRef &peer : neighbours()) {
+        if (peer.instance == except)
+            continue;
+        Gossip gossip;
+        gossip.revision = m_revision;
+        gossip.configuration = m_configuration;
+        sendings.push_back({peer, std::move(gossip)});
+    }
+    return sendings;
+}
+
+void Membership::setRevision(Revision revision, std::string configuration)
+{
+    m_revision = revision;
+    m_configuration = std::move(configuration);
+}
+
+std::vector<PeerRef> Membership::neighbours() const
+{
+    std::vector<std::pair<std::uint64_t, const Member *>> ring;
+    for (const auto &[instance, known] : m_others) {
+        if (known.member.isLive())
+            ring.emplace_back(ringPosition(instance), &known.member);
+    }
+    std::sort(ring.begin(), ring.end());
+    const std::uint64_t own = ringPosition(m_self.peer.instance);
+    const auto start = static_cast<std::size_t>(
+            std::lower_bound(ring.begin(), ring.end(), std::pair(own, (const Member *)nullptr))
+            - ring.begin());
+    std::vector<PeerRef> peers;
+    for (std::size_t distance = 1; distance <= ring.size(); distance *= 2)
+        peers.push_back(ring[(start + distance - 1) % ring.size()].second->peer);
+    return peers;
+}
+
+bool Membership::isReader() const
+{
+    const auto position = [](const InstanceId &instance) {
+        return std::pair(checksum("reader/" + instance.value()), instance);
+    };
+    const auto own = position(m_self.peer.instance);
+    const auto before = std::count_if(m_others.begin(), m_others.end(), [&](const auto &other) {
+        const Member &member = other.second.member;
+        return member.isLive() && member.zone == m_self.zone && position(other.first) < own;
+    });
+    return before < static_cast<std::ptrdiff_t>(readersPerZone);
+}
+
+std::vector<Member> Membership::members() const
+{
+    std::vector<Member> all{m_self};
+    for (const auto &[instance, known] : m_others)
+        all.push_back(known.member);
+    return all;
+}
+
+std::vector<std::uint64_t> Membership::bucketHashes() const
+{
+    std::vector<std::uint64_t> hashes(bucketCount, 0);
+    const auto add = [&hashes](const Member &member) {
+        const std::string text = member.peer.instance.value() + '/'
+                + toHex(member.peer.incarnation.value()) + '/' + std::to_string(member.version)
+                + '/' + std::to_string(severity(member.state));
+        hashes[bucketOf(member.peer.instance)] ^= checksum(text);
+    };
+    add(m_self);
+    for (const auto &[instance, known] : m_others)
+        add(known.member);
+    return hashes;
+}
+
+std::vector<Member>
+Membership::membersInDiffering(const std::vector<std::uint64_t> &theirs) const
+{
+    std::vector<Member> found;
+    const std::vector<std::uint64_t> ours = bucketHashes();
+    if (theirs.size() != ours.size())
+        return found;
+    for (const Member &member : members()) {
+        const std::size_t bucket = bucketOf(member.peer.instance);
+        if (theirs[bucket] != ours[bucket])
+            found.push_back(member);
+    }
+    return found;
+}
+
+Membership::Sendings Membership::flood(const std::vector<Member> &news,
+                                       const std::optional<InstanceId> &except) const
+{
+    Sendings sendings;
+    for (const PeerRef &peer : neighbours()) {
+        if (peer.instance == except)
+            continue;
+        Gossip gossip;
+        gossip.members = news;
+        gossip.revision = m_revision;
+        sendings.push_back({peer, std::move(gossip)});
+    }
+    return sendings;
+}
+
+Gossip Membership::comparison() const
+{
+    Gossip gossip;
+    gossip.members = {m_self};
+    gossip.bucketHashes = bucketHashes();
+    gossip.wantsHashes = true;
+    gossip.revision = m_revision;
+    return gossip;
+}
+
+void Membership::ageOut(TimePoint now, std::vector<Member> *news)
+{
+    std::vector<Member> died;
+    for (const auto &[instance, known] : m_others) {
+        if (known.member.state == MemberState::Suspect
+            && now - known.since >= m_settings.suspicion) {
+            died.push_back(known.member);
+            died.back().state = MemberState::Dead;
+        }
+    }
+    for (const Member &member : died) {
+        merge(member, now);
+        news->push_back(member);
+    }
+    m_changes += std::erase_if(m_others, [&](const auto &other) {
+        return !other.second.member.isLive()
+                && now - other.second.since >= m_settings.tombstone;
+    });
+}
+
+/// Tries a seed and a dead member: a cut may have healed.
+void Membership::reachOut(Sendings *sendings)
+{
+    std::vector<PeerRef> lost;
+    for (const auto &[instance, known] : m_others) {
+        if (known.member.state == MemberState::Dead)
+            lost.push_back(known.member.peer);
+    }
+    const auto sendToOne = [&](const std::vector<PeerRef> &peers) {
+        if (!peers.empty())
+            sendings->push_back({peers[m_random() % peers.size()], comparison()});
+    };
+    sendToOne(lost);
+    std::vector<PeerRef> seeds;
+    for (const std::string &address : m_seeds)
+        seeds.push_back(seedPeer(address));
+    sendToOne(seeds);
+}
+
+void Membership::compare(Sendings *sendings)
+{
+    const std::vector<PeerRef> peers = neighbours();
+    if (peers.empty()) {
+        for (const std::string &address : m_seeds)
+            sendings->push_back({seedPeer(address), comparison()});
+        return;
+    }
+    sendings->push_back({peers[m_random() % peers.size()], comparison()});
+}
+
+Membership::Sendings Membership::tick(TimePoint now)
+{
+    std::vector<Member> news;
+    ageOut(now, &news);
+    Sendings sendings;
+    if (!news.empty())
+        sendings = flood(news, std::nullopt);
+    if (now >= m_nextExchange) {
+        m_nextExchange = now + m_settings.exchange;
+        compare(&sendings);
+    }
+    if (now >= m_nextRejoin) {
+        m_nextRejoin = now + m_settings.rejoin;
+        reachOut(&sendings);
+    }
+    return sendings;
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,146 @@
+#pragma once
+
+/// Which nodes there are, by gossip: no list, no coordinator.
+
+#include "call/call.h"
+#include "core/core.h"
+#include "preset/preset.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace buckthornford {
+
+enum class MemberState {
+    Joining, ///< no upstream has announced itself yet
+    Serving,
+    Leaving, ///< finishes what it has, takes nothing new
+    Suspect, ///< said by others: it doesn't answer
+    Dead, ///< said by others: it didn't answer for long
+    Left, ///< said by itself before it stopped
+};
+
+std::string_view memberStateName(MemberState state);
+
+/// One node as gossip tells it. Only the node itself raises its version.
+struct Member
+{
+    PeerRef peer;
+    std::uint64_t version = 0;
+    MemberState state = MemberState::Joining;
+    ServiceName service;
+    ZoneName zone;
+    RegionName region;
+    Slots slots;
+    std::string callersAddress;
+    std::string operatorAddress;
+
+    bool isLive() const { return state < MemberState::Dead; }
+    bool isServing() const { return state == MemberState::Serving; }
+    friend bool operator==(const Member &, const Member &) = default;
+};
+
+/// Whether \a a is newer news than \a b of the same instance.
+bool supersedes(const Member &a, const Member &b);
+
+/// What nodes tell each other.
+struct Gossip
+{
+    std::vector<Member> members;
+    std::vector<std::uint64_t> bucketHashes; ///< of the sender's whole table; empty if not told
+    bool wantsHashes = false; ///< answer with your bucket hashes too
+    Revision revision; ///< newest configuration that the sender has
+    std::string configuration; ///< JSON text; empty if not sent
+};
+
+/// The table of members and the decisions on whom to tell what. No socket, no clock.
+class Membership
+{
+public:
+    struct Settings
+    {
+        Duration suspicion{std::chrono::seconds(1)}; ///< from suspect to dead
+        Duration tombstone{std::chrono::minutes(60)}; ///< how long the dead are remembered
+        Duration exchange{std::chrono::seconds(1)}; ///< between comparisons of tables
+        Duration rejoin{std::chrono::seconds(3)}; ///< between tries to reach the dead and seeds
+        std::uint64_t seed = 1;
+    };
+
+    /// One message to send.
+    struct Sending
+    {
+        PeerRef to;
+        Gossip gossip;
+    };
+    using Sendings = std::vector<Sending>;
+
+    Membership(Member self, std::vector<std::string> seeds, Settings settings);
+
+    const Member &self() const { return m_self; }
+
+    /// Changes what this node says of itself and tells the neighbours.
+    Sendings announce(MemberState state, Slots slots, const ServiceName &service);
+
+    /// Takes in what \a from sent. The first sending whose receiver is \a from, if any, is the
+    /// reply.
+    Sendings receive(const PeerRef &from, const Gossip &gossip, TimePoint now);
+
+    /// A neighbour doesn't answer.
+    Sendings suspect(const InstanceId &instance, TimePoint now);
+
+    /// Spreads \a configuration to the neighbours, all but \a except.
+    Sendings spread(const Configuration &configuration, const std::optional<InstanceId> &except);
+
+    Sendings tick(TimePoint now);
+
+    /// The peers to keep a stream to: ring successors at distances 1, 2, 4 and so on.
+    std::vector<PeerRef> neighbours() const;
+
+    /// Whether this node is one of the few in its availability zone that read the platform.
+    bool isReader() const;
+
+    std::vector<Member> members() const;
+
+    /// Counts changes; equal numbers mean an unchanged table.
+    std::uint64_t changeCount() const { return m_changes; }
+
+    void setRevision(Revision revision, std::string configuration);
+    Revision revision() const { return m_revision; }
+
+private:
+    struct Known
+    {
+        Member member;
+        TimePoint since; ///< of the last change
+    };
+
+    static constexpr std::size_t bucketCount = 64;
+
+    bool merge(const Member &member, TimePoint now);
+    void refute(const Member &rumour);
+    std::vector<std::uint64_t> bucketHashes() const;
+    std::vector<Member> membersInDiffering(const std::vector<std::uint64_t> &theirs) const;
+    Sendings flood(const std::vector<Member> &news, const std::optional<InstanceId> &except) const;
+    Gossip comparison() const;
+    void ageOut(TimePoint now, std::vector<Member> *news);
+    void reachOut(Sendings *sendings);
+    void compare(Sendings *sendings);
+    static std::size_t bucketOf(const InstanceId &instance);
+
+    Member m_self;
+    std::vector<std::string> m_seeds;
+    Settings m_settings;
+    std::mt19937_64 m_random;
+    std::map<InstanceId, Known> m_others;
+    std::uint64_t m_changes = 1;
+    Revision m_revision;
+    std::string m_configuration;
+    TimePoint m_nextExchange;
+    TimePoint m_nextRejoin;
+};
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/node/node_report.cpp
@@ -0,0 +1,98 @@
+#include "node/node_task_p.h"
+
+#include <nlohmann/json.hpp>
+
+namespace buckthornford {
+
+using nlohmann::json;
+
+std::string NodeTask::statusText() const
+{
+    const LoadReport load = m_gate.load();
+    const WallTime wall = steadyWallNow();
+    const Configuration *configuration = m_history.inForce(wall);
+    json classes = json::object();
+    for (const auto &[name, metrics] : m_entryMetrics.classes()) {
+        json outcomes = json::object();
+        for (std::size_t i = 0; i < metrics.outcomes.size(); ++i)
+            outcomes[std::string(outcomeName(static_cast<Outcome>(i)))] = metrics.outcomes[i];
+        json reasons = json::object();
+        for (const auto &[reason, count] : metrics.reasons)
+            reasons[std::string(errorRow(reason).name)] = count;
+        classes[name.value()] = {{"outcomes", outcomes},
+                                 {"reasons", reasons},
+                                 {"p50Ms", toMilliseconds(metrics.latency.quantile(0.5))},
+                                 {"p99Ms", toMilliseconds(metrics.latency.quantile(0.99))}};
+    }
+    const ExecutionRecord &record = m_gate.record();
+    json status{
+            {"instance", m_settings.instance.value()},
+            {"zone", m_settings.zone.value()},
+            {"region", m_settings.region.value()},
+            {"incarnation", toHex(m_self.incarnation.value())},
+            {"policy", m_settings.policy},
+            {"service", m_told ? m_told->service.value() : ""},
+            {"state", memberStateName(state())},
+            {"drained", isDrained(monotonicNow())},
+            {"liveNodes", m_memberCount},
+            {"revision", configuration == nullptr ? 0 : configuration->revision.value()},
+            {"preset",
+             configuration == nullptr ? "" : configuration->document.inForce.value()},
+            {"upstream", {{"present", m_upstream.has_value()}}},
+            {"gate",
+             {{"inFlight", load.inFlight}, {"limit", load.limit}, {"queued", load.queued}}},
+            {"record",
+             {{"keys", record.size()},
+              {"bytes", record.keptBytes().value()},
+              {"resends", record.resends()}}},
+            {"openCalls", m_entry.openCalls()},
+            {"streams", m_link.size()},
+            {"upstreamConnections", m_pool.size()},
+            {"classes", classes},
+    };
+    if (m_upstream) {
+        status["upstream"]["address"] = m_upstream->announcement.address.toString();
+        status["upstream"]["slots"] = m_upstream->announcement.slots.value();
+    }
+    return status.dump();
+}
+
+std::string NodeTask::metricsText() const
+{
+    const LoadReport load = m_gate.load();
+    std::string text = m_entryMetrics.exposition("buckthornford_entry");
+    text += m_gateMetrics.exposition("buckthornford_gate");
+    const auto gauge = [&text](std::string_view name, std::uint64_t value) {
+        text += "buckthornford_" + std::string(name) + " " + std::to_string(value) + "\n";
+    };
+    gauge("gate_in_flight", load.inFlight);
+    gauge("gate_limit", load.limit);
+    gauge("gate_queued", load.queued);
+    gauge("record_keys", m_gate.record().size());
+    gauge("record_resends_total", m_gate.record().resends());
+    gauge("live_nodes", m_memberCount);
+    const Configuration *newest = m_history.newest();
+    gauge("configuration_revision", newest == nullptr ? 0 : newest->revision.value());
+    return text;
+}
+
+std::string NodeTask::spansText() const
+{
+    std::string text;
+    for (const Span &span : m_spans.spans())
+        text += toOtlpLine(span) + "\n";
+    return text;
+}
+
+std::string NodeTask::configurationText() const
+{
+    const Configuration *configuration = m_history.newest();
+    if (configuration == nullptr)
+        return R"({"revision":0})";
+    json text = json::parse(toJsonText(*configuration));
+    const Configuration *inForce = m_history.inForce(steadyWallNow());
+    text["revisionInForce"] = inForce->revision.value();
+    return text.dump();
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/node/node_task.cpp
@@ -0,0 +1,366 @@
+#include "node/node_task_p.h"
+
+#include <array>
+#include <utility>
+
+namespace buckthornford {
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(20);
+constexpr Duration announcementLife = std::chrono::seconds(3);
+constexpr std::size_t maxSpans = 4096;
+constexpr std::uint64_t localChannel = 0;
+
+EntrySettings entrySettings(const NodeSettings &settings, const Policy &policy)
+{
+    EntrySettings entry;
+    entry.place = {settings.instance, settings.zone, settings.region};
+    entry.policy = policy.entry;
+    entry.keyLife = settings.keyLife;
+    entry.seed = settings.seed;
+    entry.sampledShare = settings.sampledShare;
+    return entry;
+}
+
+GateSettings gateSettings(const NodeSettings &settings, const Policy &policy, const PeerRef &self)
+{
+    GateSettings gate;
+    gate.self = self.instance;
+    gate.incarnation = self.incarnation;
+    gate.policy = policy.gate;
+    gate.record.keyLife = settings.keyLife;
+    return gate;
+}
+
+} // namespace
+
+NodeTask::NodeTask(const NodeSettings &settings, const Policy &policy, const PeerRef &self,
+                   SelfListener selfListener)
+    : m_settings(settings)
+    , m_self(self)
+    , m_entry(entrySettings(settings, policy))
+    , m_gate(gateSettings(settings, policy, self))
+    , m_link(self, this, LinkClient::Settings{})
+    , m_pool([this](UpstreamWorker *worker, UpstreamResult result) {
+        post(UpstreamEnded{worker, std::move(result)});
+    })
+    , m_selfListener(std::move(selfListener))
+    , m_spans(maxSpans)
+{
+    m_canceller.start();
+}
+
+NodeTask::~NodeTask()
+{
+    stop();
+}
+
+void NodeTask::onFrame(const InstanceId &peer, Frame frame)
+{
+    post(PeerFrame{peer, std::move(frame)});
+}
+
+void NodeTask::onEnded(const InstanceId &peer, ChannelId channel, bool wasOpen)
+{
+    post(PeerEnded{peer, channel, wasOpen});
+}
+
+void NodeTask::handle(NodeMessage &&message, TimePoint now)
+{
+    std::visit([this, now](auto &&kind) { on(std::move(kind), now); }, std::move(message));
+}
+
+TimePoint NodeTask::tick(TimePoint now)
+{
+    const WallTime wall = steadyWallNow();
+    carryOut(m_entry.tick(now, wall), now);
+    carryOut(m_gate.tick(now, wall), now);
+    m_link.tick(now);
+    if (m_upstream && now - m_upstream->lastHeard > announcementLife) {
+        m_upstream.reset();
+        carryOut(m_gate.withdraw(now), now);
+    }
+    drain(now);
+    tellSelf();
+    return m_entry.nextWake(now + tickInterval);
+}
+
+void NodeTask::on(CallBegun &&message, TimePoint now)
+{
+    m_replies[message.id] = std::move(message.reply);
+    carryOut(m_entry.begin(message.id, std::move(message.request), m_history, now,
+                           steadyWallNow()),
+             now);
+}
+
+void NodeTask::on(CallerLeft &&message, TimePoint now)
+{
+    carryOut(m_entry.cancel(message.id, now, steadyWallNow()), now);
+}
+
+void NodeTask::on(KeysWanted &&message, TimePoint now)
+{
+    message.reply->post(m_entry.makeKeys(message.service, message.count, now, steadyWallNow()));
+}
+
+void NodeTask::on(ChannelOpened &&message, TimePoint)
+{
+    m_channels[message.channel] = std::move(message.sink);
+}
+
+void NodeTask::on(ChannelFrame &&message, TimePoint now)
+{
+    if (const auto *run = std::get_if<Run>(&message.frame)) {
+        runHere(*run, {message.channel.value(), run->request, run->attempt}, now);
+        return;
+    }
+    if (const auto *cancel = std::get_if<Cancel>(&message.frame))
+        carryOut(m_gate.cancel({message.channel.value(), cancel->request, cancel->attempt}, now),
+                 now);
+}
+
+void NodeTask::on(ChannelClosed &&message, TimePoint)
+{
+    m_channels.erase(message.channel);
+}
+
+void NodeTask::on(PeerFrame &&message, TimePoint now)
+{
+    if (auto *answer = std::get_if<Answer>(&message.frame))
+        carryOut(m_entry.answer(message.peer, std::move(*answer), now, steadyWallNow()), now);
+}
+
+void NodeTask::on(PeerEnded &&message, TimePoint now)
+{
+    if (!m_link.forget(message.peer, message.channel))
+        return;
+    const WallTime wall = steadyWallNow();
+    carryOut(message.wasOpen ? m_entry.peerLost(message.peer, now, wall)
+                             : m_entry.peerUnreachable(message.peer, now, wall),
+             now);
+}
+
+void NodeTask::on(UpstreamEnded &&message, TimePoint now)
+{
+    m_pool.release(message.worker);
+    const ExecutionId id = message.result.execution;
+    EntryActions cancelled;
+    const ChainResult chain = m_entry.endExecution(id, now, steadyWallNow(), &cancelled);
+    carryOut(std::move(cancelled), now);
+    const auto running = m_running.find(id);
+    if (running != m_running.end()) {
+        recordGateSpan(running->second, message.result);
+        m_running.erase(running);
+    }
+    const bool isAbsent = message.result.end == UpstreamResult::End::NotSent;
+    carryOut(m_gate.finish(std::move(message.result), chain, now), now);
+    if (isAbsent && m_upstream) {
+        m_upstream.reset();
+        carryOut(m_gate.withdraw(now), now);
+        tellSelf();
+    }
+}
+
+void NodeTask::on(UpstreamAnnounced &&message, TimePoint now)
+{
+    const Announcement &news = message.announcement;
+    const bool isNew = !m_upstream || m_upstream->announcement.startId != news.startId;
+    if (news.isLeaving && !m_drainStart) {
+        m_upstreamLeaves = true;
+        on(DrainWanted{true}, now);
+    } else if (!news.isLeaving && std::exchange(m_upstreamLeaves, false)) {
+        on(DrainWanted{false}, now);
+    }
+    m_upstream = Upstream{news, now};
+    m_gate.announce(news.slots, isNew, now);
+    message.drained->post(isDrained(now));
+    tellSelf();
+}
+
+void NodeTask::on(ViewChanged &&message, TimePoint now)
+{
+    std::vector<Target> targets;
+    std::vector<DirectoryEntry> directory;
+    for (const Member &member : message.members) {
+        if (member.isLive())
+            directory.push_back({member.peer, member.service});
+        if (member.isServing())
+            targets.push_back(
+                    {member.peer, member.service, member.zone, member.region, member.slots});
+    }
+    m_memberCount = directory.size();
+    m_entry.setView(targets, std::move(directory), now);
+}
+
+void NodeTask::on(ConfigurationArrived &&message, TimePoint)
+{
+    m_history.accept(std::move(message.configuration));
+}
+
+void NodeTask::on(DrainWanted &&message, TimePoint now)
+{
+    if (message.on && !m_drainStart)
+        m_drainStart = now;
+    if (!message.on) {
+        m_drainStart.reset();
+        m_gate.stopDraining();
+    }
+    tellSelf();
+}
+
+void NodeTask::on(Question &&message, TimePoint)
+{
+    using TextFunction = std::string (NodeTask::*)() const;
+    static constexpr std::array<TextFunction, 4> texts{
+            &NodeTask::statusText, &NodeTask::metricsText, &NodeTask::spansText,
+            &NodeTask::configurationText};
+    message.reply->post((this->*texts[static_cast<std::size_t>(message.about)])());
+}
+
+void NodeTask::carryOut(EntryActions &&actions, TimePoint now)
+{
+    for (EntryAction &action : actions)
+        std::visit([this, now](auto &&kind) { carryOut(std::move(kind), now); }, std::move(action));
+}
+
+void NodeTask::carryOut(SendRun &&action, TimePoint now)
+{
+    if (action.to.instance == m_self.instance)
+        runHere(action.run, {localChannel, action.run.request, action.run.attempt}, now);
+    else
+        m_link.send(action.to, std::move(action.run), now);
+}
+
+void NodeTask::carryOut(SendCancel &&action, TimePoint now)
+{
+    if (action.to.instance == m_self.instance)
+        carryOut(m_gate.cancel({localChannel, action.request, action.attempt}, now), now);
+    else
+        m_link.post(action.to.instance, Cancel{action.request, action.attempt}, now);
+}
+
+void NodeTask::carryOut(FinishCall &&action, TimePoint)
+{
+    const Span &span = action.result.span;
+    const Duration latency{span.end.value() - span.start.value()};
+    m_entryMetrics.record(span.className, span.outcome, span.reason, latency);
+    m_spans.add(span);
+    const auto reply = m_replies.find(action.request);
+    if (reply == m_replies.end())
+        return;
+    reply->second->post(std::move(action.result));
+    m_replies.erase(reply);
+}
+
+void NodeTask::carryOut(GateActions &&actions, TimePoint now)
+{
+    for (GateAction &action : actions)
+        std::visit([this, now](auto &&kind) { carryOut(std::move(kind), now); }, std::move(action));
+}
+
+void NodeTask::carryOut(StartExecution &&action, TimePoint now)
+{
+    action.run.trace = action.run.trace.child();
+    m_entry.beginExecution(action.execution, action.run, action.deadline);
+    Run bare = action.run;
+    bare.work.body.clear();
+    m_running.insert_or_assign(action.execution, Running{std::move(bare), steadyWallNow()});
+    (void)now;
+    m_pool.start({m_upstream->announcement.address, action.execution, std::move(action.run),
+                  action.deadline});
+}
+
+void NodeTask::carryOut(CancelExecution &&action, TimePoint now)
+{
+    EntryActions cancelled;
+    // Calls further down stop at once; the upstream's own end follows.
+    m_entry.cancelCallsOf(action.execution, now, steadyWallNow(), &cancelled);
+    carryOut(std::move(cancelled), now);
+    if (m_upstream)
+        m_canceller.post({m_upstream->announcement.address, action.execution});
+}
+
+void NodeTask::carryOut(Reply &&action, TimePoint now)
+{
+    if (action.to.channel == localChannel) {
+        carryOut(m_entry.answer(m_self.instance, std::move(action.answer), now, steadyWallNow()),
+                 now);
+        return;
+    }
+    const auto channel = m_channels.find(ChannelId{action.to.channel});
+    if (channel != m_channels.end())
+        channel->second->post(std::move(action.answer));
+}
+
+void NodeTask::runHere(const Run &run, ReplyTo from, TimePoint now)
+{
+    const WallTime wall = steadyWallNow();
+    const Configuration *configuration = m_history.at(run.revision, wall);
+    if (configuration == nullptr) {
+        carryOut(Reply{from, refusal(run, Error::NoTarget, true)}, now);
+        return;
+    }
+    carryOut(m_gate.run(run, from, configuration->document.presetInForce(), now, wall), now);
+}
+
+void NodeTask::recordGateSpan(const Running &running, const UpstreamResult &result)
+{
+    const Run &run = running.run;
+    Span span;
+    span.context = run.trace;
+    span.name = "gate";
+    span.start = running.started;
+    span.end = steadyWallNow();
+    span.service = run.work.service;
+    span.operation = run.work.operation;
+    span.className = run.work.className;
+    span.instance = m_settings.instance;
+    span.revision = run.revision;
+    span.attempts = run.attempt;
+    span.budgetLeft = run.budget;
+    const bool isAnswered = result.end == UpstreamResult::End::Answered;
+    span.outcome = isAnswered ? Outcome::Completed : Outcome::Unknown;
+    m_gateMetrics.record(span.className, span.outcome, span.reason, result.latency);
+    m_spans.add(std::move(span));
+}
+
+MemberState NodeTask::state() const
+{
+    if (m_drainStart)
+        return MemberState::Leaving;
+    return m_upstream ? MemberState::Serving : MemberState::Joining;
+}
+
+void NodeTask::tellSelf()
+{
+    SelfChanged news;
+    news.state = state();
+    if (m_upstream) {
+        news.slots = m_upstream->announcement.slots;
+        news.service = m_upstream->announcement.service;
+    } else if (m_told) {
+        news.service = m_told->service;
+    }
+    const bool isSame = m_told && m_told->state == news.state && m_told->slots == news.slots
+            && m_told->service == news.service;
+    if (isSame)
+        return;
+    m_told = news;
+    m_selfListener(news);
+}
+
+/// Once the news has spread, new work is refused; until then it is served as usual.
+void NodeTask::drain(TimePoint now)
+{
+    if (m_drainStart && now - *m_drainStart >= m_settings.spread)
+        m_gate.startDraining();
+}
+
+bool NodeTask::isDrained(TimePoint now) const
+{
+    return m_drainStart && now - *m_drainStart >= m_settings.spread && m_gate.isDraining()
+            && m_gate.isIdle() && m_entry.openCalls() == 0;
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/node/upstream_pool.cpp
@@ -0,0 +1,130 @@
+#include "node/upstream_pool_p.h"
+
+#include "node/headers_p.h"
+
+namespace buckthornford {
+
+namespace {
+
+/// An older connection may have gone silent; work that must not run twice opens a new one.
+constexpr Duration provenLife = std::chrono::seconds(1);
+constexpr Duration idleLife = std::chrono::seconds(20);
+constexpr Duration cancelTimeout = std::chrono::milliseconds(500);
+
+HttpRequest requestOf(const UpstreamJob &job, TimePoint now)
+{
+    const Work &work = job.run.work;
+    HttpRequest request;
+    request.method = work.method;
+    request.path = "/" + work.operation.value();
+    request.query = work.query;
+    request.body = work.body;
+    const auto timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(job.deadline - now);
+    request.headers = {{contextHeader, toHex(job.execution.value())},
+                       {timeoutHeader, std::to_string(timeLeft.count())},
+                       {classHeader, work.className.value()},
+                       {callerHeader, work.caller.value()},
+                       {traceHeader, job.run.trace.toHeader()}};
+    if (!work.contentType.empty())
+        request.headers.emplace_back("Content-Type", work.contentType);
+    if (!work.key.empty())
+        request.headers.emplace_back(keyHeader, work.key);
+    return request;
+}
+
+UpstreamResult::End endOf(const Result<HttpResponse> &response)
+{
+    using End = UpstreamResult::End;
+    if (response)
+        return findHeader(response.value().headers, notRunHeader) != nullptr ? End::Shed
+                                                                             : End::Answered;
+    switch (errorOf(response.error())) {
+    case Error::AnswerCut:
+        return End::Cut;
+    case Error::Timeout:
+        return End::TimedOut;
+    default:
+        return End::Lost;
+    }
+}
+
+} // namespace
+
+bool UpstreamWorker::prepareConnection(const UpstreamJob &job, TimePoint now)
+{
+    const Duration life = job.run.work.idempotent ? idleLife : provenLife;
+    if (m_connection && (m_endpoint != job.upstream || now - m_lastUse > life))
+        m_connection.reset();
+    if (m_connection)
+        return true;
+    Result<HttpConnection> connection = HttpConnection::connect(job.upstream);
+    if (!connection)
+        return false;
+    m_connection.emplace(std::move(connection.value()));
+    m_endpoint = job.upstream;
+    return true;
+}
+
+UpstreamResult UpstreamWorker::exchange(const UpstreamJob &job, TimePoint now)
+{
+    UpstreamResult result;
+    result.execution = job.execution;
+    if (!prepareConnection(job, now)) {
+        result.end = UpstreamResult::End::NotSent;
+        return result;
+    }
+    const Duration timeLeft = std::max(Duration{1000}, Duration{job.deadline - now});
+    Result<HttpResponse> response = m_connection->exchange(requestOf(job, now), timeLeft);
+    result.end = endOf(response);
+    m_lastUse = monotonicNow();
+    result.latency = m_lastUse - now;
+    if (!response || m_connection->mustClose())
+        m_connection.reset();
+    if (response) {
+        result.status = response.value().status;
+        result.contentType = std::move(response.value().contentType);
+        result.body = std::move(response.value().body);
+    }
+    return result;
+}
+
+void UpstreamWorker::handle(UpstreamJob &&job, TimePoint now)
+{
+    m_report(this, exchange(job, now));
+}
+
+TimePoint UpstreamWorker::tick(TimePoint now)
+{
+    if (m_connection && now - m_lastUse > idleLife)
+        m_connection.reset();
+    return now + idleLife;
+}
+
+void UpstreamPool::start(UpstreamJob job)
+{
+    if (m_idle.empty()) {
+        m_workers.push_back(std::make_unique<UpstreamWorker>(m_report));
+        m_workers.back()->start();
+        m_idle.push_back(m_workers.back().get());
+    }
+    // The one used last has the freshest connection.
+    UpstreamWorker *worker = m_idle.back();
+    m_idle.pop_back();
+    worker->post(std::move(job));
+}
+
+void UpstreamCanceller::handle(CancelJob &&job, TimePoint)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/buckthornford/cancel/" + toHex(job.execution.value());
+    // Best effort: the execution's own deadline ends it if this is lost.
+    (void)exchangeOnce(job.upstream, request, cancelTimeout);
+}
+
+TimePoint UpstreamCanceller::tick(TimePoint now)
+{
+    return now + idleLife;
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/retry/retry.cpp
@@ -0,0 +1,81 @@
+#include "retry/retry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornford {
+
+Tokens ChainBudget::lend()
+{
+    const std::uint32_t kept = m_tokens / 2;
+    const std::uint32_t lent = m_tokens - kept;
+    m_tokens = kept;
+    return Tokens{lent};
+}
+
+Tokens ChainBudget::lendAll()
+{
+    return Tokens{std::exchange(m_tokens, 0)};
+}
+
+bool ChainBudget::spend()
+{
+    if (m_tokens == 0)
+        return false;
+    --m_tokens;
+    return true;
+}
+
+double &RetryRatio::credit(const CallerName &caller)
+{
+    const auto found = m_credit.find(caller);
+    if (found != m_credit.end())
+        return found->second;
+    // Strangers past the bound share one credit, so that made-up names gain nothing.
+    const bool isFull = m_credit.size() >= maxCallers;
+    return m_credit.try_emplace(isFull ? CallerName{} : caller, m_settings.burst).first->second;
+}
+
+void RetryRatio::recordRequest(const CallerName &caller)
+{
+    double &saved = credit(caller);
+    saved = std::min(m_settings.burst, saved + m_settings.ratio);
+}
+
+bool RetryRatio::spend(const CallerName &caller)
+{
+    double &saved = credit(caller);
+    if (saved < 1.0)
+        return false;
+    saved -= 1.0;
+    return true;
+}
+
+RetryChoice chooseRetry(const AttemptEnd &end)
+{
+    switch (end.outcome) {
+    case Outcome::Completed:
+        return RetryChoice::Stop;
+    case Outcome::NotRun:
+        if (end.reason == Error::KeyMoved)
+            return RetryChoice::FollowKey;
+        if (!end.retryable)
+            return RetryChoice::Stop;
+        // A caller's key belongs to one home, which has refused it for good.
+        return end.idempotent || end.ownKey ? RetryChoice::RetryAnother : RetryChoice::Stop;
+    case Outcome::Failed:
+        return end.idempotent && end.retryable ? RetryChoice::RetryAnother : RetryChoice::Stop;
+    case Outcome::Unknown:
+        if (end.idempotent)
+            return end.retryable ? RetryChoice::RetryAnother : RetryChoice::Stop;
+        return end.retryable && end.sameHomeLives ? RetryChoice::RetrySame : RetryChoice::Stop;
+    }
+    return RetryChoice::Stop;
+}
+
+RetryChoice chooseRetryNaively(const AttemptEnd &end)
+{
+    return end.outcome == Outcome::Completed ? RetryChoice::Stop : RetryChoice::RetryAnother;
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/retry/retry.h
@@ -0,0 +1,89 @@
+#pragma once
+
+/// Retries bounded over the whole call chain, and over each caller's requests.
+
+#include "call/call.h"
+#include "core/core.h"
+
+#include <unordered_map>
+
+namespace buckthornford {
+
+/// The retries that one holder has left. Tokens are lent down the chain and given back, never
+/// copied, so that their sum over a chain never exceeds what its first hop got.
+class ChainBudget
+{
+public:
+    ChainBudget() = default;
+    explicit ChainBudget(Tokens tokens) : m_tokens(tokens.value()) { }
+
+    Tokens tokens() const { return Tokens{m_tokens}; }
+
+    /// Takes the larger half for the hop below; the rest stays for a failure of that hop itself.
+    Tokens lend();
+
+    /// Takes all, for the last attempt of a call.
+    Tokens lendAll();
+
+    void giveBack(Tokens tokens) { m_tokens += tokens.value(); }
+
+    /// Takes one token for a retry. Returns whether there was one.
+    bool spend();
+
+private:
+    std::uint32_t m_tokens = 0;
+};
+
+/// Caps each caller's retries to a share of its requests. As each node holds the share, the
+/// fleet holds it too.
+class RetryRatio
+{
+public:
+    struct Settings
+    {
+        double ratio = 0.1; ///< retries earned by one request
+        double burst = 20.0; ///< retries that a caller may save up
+    };
+
+    explicit RetryRatio(Settings settings) : m_settings(settings) { }
+
+    void recordRequest(const CallerName &caller);
+
+    /// Takes one retry of \a caller. Returns whether there was one.
+    bool spend(const CallerName &caller);
+
+private:
+    static constexpr std::size_t maxCallers = 4096;
+
+    double &credit(const CallerName &caller);
+
+    Settings m_settings;
+    std::unordered_map<CallerName, double> m_credit;
+};
+
+/// What may be done after an attempt has ended.
+enum class RetryChoice {
+    Stop,
+    RetryAnother, ///< send to another target, with a new key if the work had one of ours
+    RetrySame, ///< send the same key to the same target, whose record tells runs apart
+    FollowKey, ///< go where the key has moved
+};
+
+/// The facts of an ended attempt.
+struct AttemptEnd
+{
+    Outcome outcome = Outcome::NotRun;
+    Error reason = Error::None;
+    bool retryable = false;
+    bool idempotent = false;
+    bool ownKey = false; ///< the key was made by this entry node, not by the caller
+    bool sameHomeLives = false; ///< the target's incarnation is still a member
+};
+
+/// Whether and how to go on; \see ChainBudget for the right to do so.
+RetryChoice chooseRetry(const AttemptEnd &end);
+
+/// The naive baseline: any failure is sent again to another target.
+RetryChoice chooseRetryNaively(const AttemptEnd &end);
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/routing/round_robin_p.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "routing/routing.h"
+
+namespace buckthornford {
+
+/// The naive baseline: every target of a service in turn.
+class RoundRobinRouter : public Router
+{
+public:
+    void setTargets(const std::vector<Target> &targets, TimePoint now) override;
+    Result<Pick> pick(const PickRequest &request, TimePoint now) override;
+    void onSent(const InstanceId &, TimePoint) override { }
+    void onEnd(const InstanceId &, const OperationName &, Duration, bool, TimePoint) override { }
+    void onReport(const InstanceId &, const LoadReport &, TimePoint) override { }
+    void onUnreachable(const InstanceId &, TimePoint) override { }
+    bool knowsService(const ServiceName &service) const override;
+    Duration slowLatency(const ServiceName &, const OperationName &) const override
+    {
+        return Duration{0};
+    }
+
+private:
+    std::unordered_map<ServiceName, std::vector<Target>> m_targets;
+    std::unordered_map<ServiceName, std::size_t> m_next;
+};
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/routing/routing.h
@@ -0,0 +1,91 @@
+#pragma once
+
+/// Which target a request goes to, from the entry node's own view.
+
+#include "call/call.h"
+#include "core/core.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace buckthornford {
+
+/// A target that can be picked.
+struct Target
+{
+    PeerRef peer;
+    ServiceName service;
+    ZoneName zone;
+    RegionName region;
+    Slots slots;
+};
+
+/// Where the picking node is.
+struct Place
+{
+    InstanceId self;
+    ZoneName zone;
+    RegionName region;
+};
+
+/// How far a pick went from home.
+enum class Reach { Zone, Region, World };
+
+struct Pick
+{
+    PeerRef peer;
+    Reach reach = Reach::Zone;
+};
+
+/// What a pick is for.
+struct PickRequest
+{
+    ServiceName service;
+    OperationName operation;
+    Rank rank;
+    std::vector<InstanceId> exclude; ///< tried already
+    double spillShare = 0.0; ///< of requests that may leave the region
+};
+
+/// Chooses targets. Own measurements come first; reports of others age and only ever make a
+/// target look worse.
+class Router
+{
+public:
+    virtual ~Router() = default;
+
+    /// Replaces the targets that are known to serve.
+    virtual void setTargets(const std::vector<Target> &targets, TimePoint now) = 0;
+
+    /// Error::UnknownService if no target of the service was ever known, Error::NoTarget if none
+    /// can take the request now.
+    virtual Result<Pick> pick(const PickRequest &request, TimePoint now) = 0;
+
+    virtual void onSent(const InstanceId &target, TimePoint now) = 0;
+
+    /// An attempt ended after \a latency; \a answered is false for losses and refusals.
+    virtual void onEnd(const InstanceId &target, const OperationName &operation, Duration latency,
+                       bool answered, TimePoint now) = 0;
+    virtual void onReport(const InstanceId &target, const LoadReport &report, TimePoint now) = 0;
+
+    /// The target can't be reached; it is left out for a while.
+    virtual void onUnreachable(const InstanceId &target, TimePoint now) = 0;
+
+    virtual bool knowsService(const ServiceName &service) const = 0;
+
+    /// Latency below which 95 in 100 of the operation's answers came; 0 where nothing is known.
+    virtual Duration slowLatency(const ServiceName &service,
+                                 const OperationName &operation) const = 0;
+};
+
+enum class RouterKind { RoundRobin, TwoChoices };
+
+/// Creates a router; \a seed makes its random choices repeatable.
+std::unique_ptr<Router> createRouter(RouterKind kind, Place place, std::uint64_t seed);
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/task/task.cpp
@@ -0,0 +1,1 @@
+#include "task/task.h"
