--- /dev/null
+++ b/programs/ctl/print.cpp
@@ -0,0 +1,89 @@
+#include "ctl/print.h"
+
+#include <iomanip>
+
+namespace buckthornford {
+
+namespace {
+
+constexpr int nameWidth = 18;
+constexpr int numberWidth = 11;
+
+} // namespace
+
+void printStatus(std::ostream &out, const nlohmann::json &status)
+{
+    const auto text = [&status](const char *key) { return status.value(key, ""); };
+    out << "instance     " << text("instance") << " (" << text("zone") << ", " << text("region")
+        << ")\n"
+        << "service      " << text("service") << ", " << text("state")
+        << (status.value("drained", false) ? ", drained" : "") << '\n'
+        << "preset       " << text("preset") << ", revision " << status["revision"] << '\n'
+        << "nodes alive  " << status["liveNodes"] << '\n';
+    const auto &gate = status["gate"];
+    out << "gate         " << gate["inFlight"] << " running of " << gate["limit"] << ", "
+        << gate["queued"] << " queued\n"
+        << "keys kept    " << status["record"]["keys"] << ", re-sends "
+        << status["record"]["resends"] << "\n\n"
+        << std::left << std::setw(nameWidth) << "class" << std::right;
+    for (const char *title : {"completed", "failed", "not-run", "unknown", "p50 ms", "p99 ms"})
+        out << std::setw(numberWidth) << title;
+    out << '\n' << std::fixed << std::setprecision(1);
+    for (const auto &[name, row] : status["classes"].items()) {
+        out << std::left << std::setw(nameWidth) << name << std::right;
+        for (const char *outcome : {"completed", "failed", "not-run", "unknown"})
+            out << std::setw(numberWidth) << row["outcomes"].value(outcome, 0);
+        out << std::setw(numberWidth) << row["p50Ms"].get<double>() << std::setw(numberWidth)
+            << row["p99Ms"].get<double>() << '\n';
+    }
+}
+
+void printMembers(std::ostream &out, const nlohmann::json &body)
+{
+    out << std::left;
+    for (const char *title : {"instance", "service", "zone", "state", "operators"})
+        out << std::setw(nameWidth) << title;
+    out << "slots\n";
+    for (const auto &member : body["members"]) {
+        for (const char *key : {"instance", "service", "zone", "state", "operators"})
+            out << std::setw(nameWidth) << member.value(key, "");
+        out << member["slots"] << '\n';
+    }
+}
+
+void printPresets(std::ostream &out, const nlohmann::json &configuration)
+{
+    out << "revision " << configuration["revision"] << '\n';
+    if (!configuration.contains("document"))
+        return;
+    const auto &document = configuration["document"];
+    for (const auto &[name, preset] : document["presets"].items()) {
+        const bool isInForce = document["inForce"] == name;
+        out << (isInForce ? "* " : "  ") << std::left << std::setw(nameWidth) << name
+            << preset["ruling"]["order"].get<std::string>() << "; ";
+        const char *separator = "";
+        for (const auto &rule : preset["classes"]) {
+            out << separator << rule["name"].get<std::string>() << '=' << rule["rank"];
+            separator = ", ";
+        }
+        out << '\n';
+    }
+}
+
+void printRefusal(std::ostream &out, const OperatorClient::Reply &reply)
+{
+    if (!reply.body.is_object()) {
+        out << reply.text << '\n';
+        return;
+    }
+    out << "refused: " << reply.body.value("message", "");
+    if (reply.body.contains("field"))
+        out << " (" << reply.body.value("field", "") << ' ' << reply.body.value("detail", "")
+            << ')';
+    out << '\n';
+    if (reply.body.contains("winner"))
+        out << "change " << reply.body.value("winner", "") << " won as revision "
+            << reply.body["revision"] << "; nothing of yours was applied\n";
+}
+
+} // namespace buckthornford
--- a/src/admission/limiter.cpp
+++ b/src/admission/limiter.cpp
@@ -50,17 +50,14 @@
     return Slots{static_cast<std::uint32_t>(std::max(1.0, m_limit))};
 }
 
-void AdaptiveLimiter::announce(Slots slots, TimePoint now)
+void AdaptiveLimiter::announce(Slots slots, TimePoint)
 {
     m_ceiling = std::max<double>(1.0, slots.value());
-    if (m_isNew)
-        restart(now);
     m_limit = std::min(m_limit, m_ceiling);
 }
 
 void AdaptiveLimiter::restart(TimePoint now)
 {
-    m_isNew = false;
     m_stalled = false;
     m_operations.clear();
     m_samples = 0;
--- a/src/admission/limiter.h
+++ b/src/admission/limiter.h
@@ -88,7 +88,6 @@
     TimePoint m_lastEnd;
     double m_typicalLatency = 0.0; ///< microseconds
     bool m_stalled = false;
-    bool m_isNew = true;
 };
 
 enum class LimiterKind { Fixed, Adaptive };
--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -43,9 +43,9 @@
 
 void Gate::announce(Slots slots, bool isNew, TimePoint now)
 {
+    m_limiter->announce(slots, now);
     if (isNew)
         m_limiter->restart(now);
-    m_limiter->announce(slots, now);
     m_hasUpstream = true;
 }
 
--- a/src/link/client.cpp
+++ b/src/link/client.cpp
@@ -9,34 +9,45 @@
 
 namespace buckthornford {
 
-/// Lets a client wait until gRPC has ended all its streams.
-class LinkClient::Count
+/// Streams that gRPC has not ended yet, and ended ones. A channel must not be destroyed on gRPC's
+/// own threads, so ended streams wait here for their client.
+class LinkClient::Ended
 {
 public:
     void add()
     {
         const std::lock_guard lock(m_mutex);
-        ++m_count;
+        ++m_alive;
     }
 
-    void remove()
+    void end(std::shared_ptr<void> stream)
     {
         // Notifies under the lock: the waiter may destroy this as soon as it wakes.
         const std::lock_guard lock(m_mutex);
-        --m_count;
+        --m_alive;
+        m_streams.push_back(std::move(stream));
         m_changed.notify_all();
     }
 
-    void waitForZero()
+    /// Destroys the ended streams on the calling thread.
+    void clear()
+    {
+        std::vector<std::shared_ptr<void>> streams;
+        const std::lock_guard lock(m_mutex);
+        streams.swap(m_streams);
+    }
+
+    void waitForAll()
     {
         std::unique_lock lock(m_mutex);
-        m_changed.wait(lock, [this] { return m_count == 0; });
+        m_changed.wait(lock, [this] { return m_alive == 0; });
     }
 
 private:
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::size_t m_count = 0;
+    std::size_t m_alive = 0;
+    std::vector<std::shared_ptr<void>> m_streams;
 };
 
 namespace {
@@ -62,9 +73,11 @@
                      public std::enable_shared_from_this<ClientStream>
 {
 public:
-    ClientStream(PeerRef peer, ClientEvents *events, std::function<void()> done)
+    using Ender = std::function<void(std::shared_ptr<void>)>;
+
+    ClientStream(PeerRef peer, ClientEvents *events, Ender ender)
         : m_peer(std::move(peer))
-        , m_done(std::move(done))
+        , m_ender(std::move(ender))
         , m_events(events)
         , m_id(nextChannel())
         , m_channel(createChannel(m_peer.address))
@@ -131,9 +144,8 @@
     {
         m_outbox.close();
         m_events->onEnded(m_peer.instance, m_id, m_open);
-        const std::function<void()> done = m_done;
-        m_keep.reset();
-        done();
+        const Ender ender = m_ender;
+        ender(std::move(m_keep));
     }
 
 private:
@@ -144,7 +156,7 @@
     }
 
     PeerRef m_peer;
-    std::function<void()> m_done;
+    Ender m_ender;
     ClientEvents *m_events;
     ChannelId m_id;
     std::shared_ptr<grpc::Channel> m_channel;
@@ -174,7 +186,7 @@
     : m_self(std::move(self))
     , m_events(events)
     , m_settings(settings)
-    , m_alive(std::make_shared<Count>())
+    , m_ended(std::make_shared<Ended>())
 {
 }
 
@@ -183,14 +195,16 @@
     for (auto &[instance, stream] : m_streams)
         stream.stream->abandon();
     m_streams.clear();
-    m_alive->waitForZero();
+    m_ended->waitForAll();
+    m_ended->clear();
 }
 
 void LinkClient::open(const PeerRef &peer, TimePoint now)
 {
-    m_alive->add();
-    auto stream = std::make_shared<ClientStream>(peer, m_events,
-                                                 [count = m_alive] { count->remove(); });
+    m_ended->add();
+    auto stream = std::make_shared<ClientStream>(
+            peer, m_events,
+            [ended = m_ended](std::shared_ptr<void> own) { ended->end(std::move(own)); });
     m_streams[peer.instance] = Stream{peer, stream, now, now, now};
     stream->begin(m_self);
 }
@@ -236,6 +250,7 @@
 
 void LinkClient::tick(TimePoint now)
 {
+    m_ended->clear();
     for (auto &[instance, stream] : m_streams) {
         if (stream.isAbandoned)
             continue;
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -125,12 +125,12 @@
 
     void open(const PeerRef &peer, TimePoint now);
 
-    class Count;
+    class Ended;
 
     PeerRef m_self;
     ClientEvents *m_events;
     Settings m_settings;
-    std::shared_ptr<Count> m_alive; ///< streams that gRPC has not ended yet
+    std::shared_ptr<Ended> m_ended;
     std::unordered_map<InstanceId, Stream> m_streams;
 };
 
--- a/src/link/server.cpp
+++ b/src/link/server.cpp
@@ -5,6 +5,8 @@
 #include <grpcpp/grpcpp.h>
 
 #include <atomic>
+#include <condition_variable>
+#include <mutex>
 
 namespace buckthornford {
 
@@ -16,13 +18,48 @@
     return ChannelId{++last};
 }
 
+/// Counts the streams that gRPC has not ended yet; gRPC's shutdown doesn't wait for OnDone.
+class StreamCount
+{
+public:
+    void add()
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_count;
+    }
+
+    void remove()
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_count;
+        m_changed.notify_all();
+    }
+
+    void waitForZero()
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait(lock, [this] { return m_count == 0; });
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::size_t m_count = 0;
+};
+
 /// A stream that another node opened. gRPC calls OnDone last; until then the stream keeps itself.
 class ServerStream : public grpc::ServerBidiReactor<wire::Batch, wire::Batch>,
                      public FrameSink,
                      public std::enable_shared_from_this<ServerStream>
 {
 public:
-    explicit ServerStream(ServerEvents *events) : m_events(events), m_channel(nextChannel()) { }
+    ServerStream(ServerEvents *events, std::shared_ptr<StreamCount> count)
+        : m_events(events)
+        , m_count(std::move(count))
+        , m_channel(nextChannel())
+    {
+        m_count->add();
+    }
 
     void begin(const PeerRef &self)
     {
@@ -71,7 +108,9 @@
     {
         m_outbox.close();
         m_events->onClosed(m_channel);
+        const std::shared_ptr<StreamCount> count = m_count;
         m_keep.reset();
+        count->remove();
     }
 
 private:
@@ -93,6 +132,7 @@
     }
 
     ServerEvents *m_events;
+    std::shared_ptr<StreamCount> m_count;
     ChannelId m_channel;
     wire::Batch m_in;
     Outbox m_outbox;
@@ -108,14 +148,17 @@
     grpc::ServerBidiReactor<wire::Batch, wire::Batch> *
     Link(grpc::CallbackServerContext *) override // NOLINT(readability-identifier-naming)
     {
-        auto stream = std::make_shared<ServerStream>(m_events);
+        auto stream = std::make_shared<ServerStream>(m_events, m_count);
         stream->begin(m_self);
         return stream.get();
     }
 
+    void waitForStreams() { m_count->waitForZero(); }
+
 private:
     PeerRef m_self;
     ServerEvents *m_events;
+    std::shared_ptr<StreamCount> m_count = std::make_shared<StreamCount>();
 };
 
 } // namespace
@@ -149,6 +192,7 @@
 {
     constexpr std::chrono::milliseconds grace{100};
     m_d->server->Shutdown(std::chrono::system_clock::now() + grace);
+    m_d->door.waitForStreams();
 }
 
 } // namespace buckthornford
--- a/src/node/call_door.cpp
+++ b/src/node/call_door.cpp
@@ -286,7 +286,9 @@
     if (!*result)
         return errorResponse(errorOf(result->error()), "service");
     HttpResponse response;
-    response.body = nlohmann::json{{"keys", result->value()}}.dump() + "\n";
+    response.body = nlohmann::json{{"keys", result->value()},
+                                   {"lifeMs", m_keyLife / std::chrono::milliseconds(1)}}
+                            .dump() + "\n";
     return response;
 }
 
--- a/src/node/doors_p.h
+++ b/src/node/doors_p.h
@@ -23,7 +23,12 @@
 public:
     enum class Kind { Callers, Upstream };
 
-    CallDoor(DoorTasks tasks, Kind kind) : m_tasks(tasks), m_kind(kind) { }
+    CallDoor(DoorTasks tasks, Kind kind, Duration keyLife)
+        : m_tasks(tasks)
+        , m_kind(kind)
+        , m_keyLife(keyLife)
+    {
+    }
 
     HttpResponse handle(const HttpRequest &request);
 
@@ -36,6 +41,7 @@
 
     DoorTasks m_tasks;
     Kind m_kind;
+    Duration m_keyLife;
 };
 
 /// Serves operators: status, members, metrics, spans, configuration, drain.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -87,8 +87,8 @@
         , platform(platformEndpoint(settings), settings.spread,
                    [this](ConfigurationArrived news) { membership.post(std::move(news)); })
         , dispatch(&node, &membership)
-        , callersDoor({&node, &membership, &platform}, CallDoor::Kind::Callers)
-        , upstreamDoor({&node, &membership, &platform}, CallDoor::Kind::Upstream)
+        , callersDoor({&node, &membership, &platform}, CallDoor::Kind::Callers, settings.keyLife)
+        , upstreamDoor({&node, &membership, &platform}, CallDoor::Kind::Upstream, settings.keyLife)
         , operatorDoor({&node, &membership, &platform})
     {
     }
