--- a/cmake/Slices.cmake
+++ b/cmake/Slices.cmake
@@ -24,9 +24,10 @@
 function(slice_test name file)
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   add_executable(${name} ${file})
-  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} Boost::unit_test_framework)
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} Boost::unit_test_framework ${RAPIDCHECK})
   target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
   add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
 
 # program(NAME SOURCES ... DEPENDS ...): the binary buckthornford-NAME from programs/NAME.
--- a/programs/ctl/client.cpp
+++ b/programs/ctl/client.cpp
@@ -14,7 +14,7 @@
     const Result<HttpResponse> response = exchangeOnce(m_node, request, timeout);
     if (!response) {
         reply.text = "cannot reach the node at " + m_node.toString() + ": "
-                + response.error().message();
+                     + response.error().message();
         return reply;
     }
     reply.status = response.value().status;
--- a/programs/ctl/client.h
+++ b/programs/ctl/client.h
@@ -12,7 +12,9 @@
 class OperatorClient
 {
 public:
-    explicit OperatorClient(Endpoint node) : m_node(std::move(node)) { }
+    explicit OperatorClient(Endpoint node)
+        : m_node(std::move(node))
+    {}
 
     struct Reply
     {
--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -68,8 +68,7 @@
     const OperatorClient::Reply reply = context.client->read("/configuration");
     if (reply.status != statusOk)
         return refuse(context, reply);
-    const auto pointer =
-            nlohmann::json::json_pointer("/document/presets/" + context.arguments[0]);
+    const auto pointer = nlohmann::json::json_pointer("/document/presets/" + context.arguments[0]);
     if (!reply.body.contains(pointer)) {
         std::cerr << "no preset \"" << context.arguments[0] << "\"\n";
         return exitRefused;
--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -16,7 +16,7 @@
     std::vector<std::string> arguments; ///< after the command's own words
     bool json = false;
     std::string changeId; ///< empty to make one
-    std::string basedOn; ///< revision; empty for the newest
+    std::string basedOn;  ///< revision; empty for the newest
 };
 
 /// A row of the command table. \a run returns the exit status.
--- a/programs/fault/link.cpp
+++ b/programs/fault/link.cpp
@@ -124,8 +124,7 @@
     : m_context(context)
     , m_spec(std::move(spec))
     , m_acceptor(*context)
-{
-}
+{}
 
 Result<void> ProxyLink::listen()
 {
--- a/programs/fault/proxy.h
+++ b/programs/fault/proxy.h
@@ -15,12 +15,12 @@
 /// What is wrong with one link.
 struct LinkFault
 {
-    Duration delay{0}; ///< each way
-    double bytesPerSecond = 0.0; ///< each way and connection; 0 for no limit
-    bool cut = false; ///< connections are reset and refused
-    bool swallowToTarget = false; ///< bytes vanish on the way there
-    bool swallowToClient = false; ///< bytes vanish on the way back
-    bool swallowExisting = false; ///< open connections go silent for good; new ones work
+    Duration delay{0};               ///< each way
+    double bytesPerSecond = 0.0;     ///< each way and connection; 0 for no limit
+    bool cut = false;                ///< connections are reset and refused
+    bool swallowToTarget = false;    ///< bytes vanish on the way there
+    bool swallowToClient = false;    ///< bytes vanish on the way back
+    bool swallowExisting = false;    ///< open connections go silent for good; new ones work
     std::size_t breakAfterBytes = 0; ///< new connections break after this many bytes back; 0: never
 };
 
--- a/programs/load/main.cpp
+++ b/programs/load/main.cpp
@@ -57,7 +57,10 @@
 class Dispatcher
 {
 public:
-    Dispatcher(const Mix &mix, Report *report) : m_mix(mix), m_report(report) { }
+    Dispatcher(const Mix &mix, Report *report)
+        : m_mix(mix)
+        , m_report(report)
+    {}
 
     void run(const std::vector<Shot> &plan)
     {
@@ -79,8 +82,8 @@
     Shooter *idleShooter()
     {
         if (m_idle.empty()) {
-            m_shooters.push_back(std::make_unique<Shooter>(parseEndpoints(FLAGS_entries),
-                                                           FLAGS_run, &m_reports));
+            m_shooters.push_back(std::make_unique<Shooter>(parseEndpoints(FLAGS_entries), FLAGS_run,
+                                                           &m_reports));
             m_shooters.back()->start();
             m_idle.push_back(m_shooters.back().get());
         }
--- a/programs/load/plan.cpp
+++ b/programs/load/plan.cpp
@@ -42,8 +42,8 @@
         for (const json &object : root.at("requests"))
             mix.kinds.push_back(readKind(object));
         for (const json &object : root.at("phases"))
-            mix.phases.push_back({object.value("name", ""), object.at("seconds"),
-                                  object.at("rate")});
+            mix.phases.push_back(
+                    {object.value("name", ""), object.at("seconds"), object.at("rate")});
     } catch (const json::exception &exception) {
         return std::string("the mix is not valid: ") + exception.what();
     }
@@ -83,9 +83,11 @@
         const Phase &current = mix.phases[phase];
         const double end = phaseStart + current.seconds;
         std::exponential_distribution<double> gap(std::max(1e-9, current.rate));
-        for (double time = phaseStart + gap(random); time < end; time += gap(random)) {
+        double time = phaseStart + gap(random);
+        while (time < end) {
             const auto due = static_cast<Duration::rep>(time * microsecondsPerSecond);
             plan.push_back({plan.size(), pickKind(random), phase, Duration{due}});
+            time += gap(random);
         }
         phaseStart = end;
     }
--- a/programs/load/plan.h
+++ b/programs/load/plan.h
@@ -51,8 +51,8 @@
 };
 
 /// A mix or one line that says what is wrong with it.
-using MixResult = boost::outcome_v2::basic_result<Mix, std::string,
-                                                  boost::outcome_v2::policy::terminate>;
+using MixResult
+        = boost::outcome_v2::basic_result<Mix, std::string, boost::outcome_v2::policy::terminate>;
 
 /// Reads a mix from JSON text.
 MixResult parseMix(std::string_view text);
--- a/programs/load/report.cpp
+++ b/programs/load/report.cpp
@@ -33,7 +33,10 @@
     return ledgers;
 }
 
-Report::Report(const Mix &mix, std::size_t planned) : m_mix(mix), m_planned(planned) { }
+Report::Report(const Mix &mix, std::size_t planned)
+    : m_mix(mix)
+    , m_planned(planned)
+{}
 
 void Report::add(const ShotResult &result)
 {
@@ -91,9 +94,8 @@
 
 nlohmann::json Report::toJson(const Group &group) const
 {
-    const auto outcome = [&group](Outcome which) {
-        return group.outcomes[static_cast<std::size_t>(which)];
-    };
+    const auto outcome
+            = [&group](Outcome which) { return group.outcomes[static_cast<std::size_t>(which)]; };
     return {{"offered", group.offered},
             {"completed", outcome(Outcome::Completed)},
             {"failed", outcome(Outcome::Failed)},
@@ -150,7 +152,7 @@
 bool Report::isClean() const
 {
     return m_planned == m_results.size() && m_cut == 0 && m_crossed == 0 && m_duplicates == 0
-            && m_falseNotRun == 0 && m_completedNotRun == 0;
+           && m_falseNotRun == 0 && m_completedNotRun == 0;
 }
 
 std::string Report::toText() const
@@ -177,9 +179,9 @@
         << m_cut << ", crossed " << m_crossed << ", completed without a run " << m_completedNotRun
         << '\n';
     for (const auto &[service, executions] : m_executions) {
-        out << "executions in " << service << ": " << executions << " ("
-            << std::setprecision(3)
-            << static_cast<double>(executions) / static_cast<double>(std::max<std::size_t>(1, m_planned))
+        out << "executions in " << service << ": " << executions << " (" << std::setprecision(3)
+            << static_cast<double>(executions)
+                        / static_cast<double>(std::max<std::size_t>(1, m_planned))
             << " for each request)\n";
     }
     return out.str();
--- a/programs/load/shooter.cpp
+++ b/programs/load/shooter.cpp
@@ -17,8 +17,7 @@
 {
     const std::string *text = findHeader(response.headers, "Buckthornford-Outcome");
     if (text == nullptr) // A door refused the request itself.
-        return response.status >= 400 && response.status < 500 ? Outcome::NotRun
-                                                               : Outcome::Unknown;
+        return response.status >= 400 && response.status < 500 ? Outcome::NotRun : Outcome::Unknown;
     for (const Outcome outcome : {Outcome::Completed, Outcome::Failed, Outcome::NotRun}) {
         if (*text == outcomeName(outcome))
             return outcome;
@@ -44,8 +43,7 @@
     : m_entries(std::move(entries))
     , m_runName(std::move(runName))
     , m_reports(reports)
-{
-}
+{}
 
 TimePoint Shooter::tick(TimePoint now)
 {
@@ -86,7 +84,8 @@
         for (const auto &key : body.at("keys"))
             stock.keys.push_back(key);
         // Half of the life is left for the request and its re-sends.
-        stock.freshUntil = now + std::chrono::milliseconds(body.at("lifeMs").get<std::int64_t>()) / 2;
+        stock.freshUntil
+                = now + std::chrono::milliseconds(body.at("lifeMs").get<std::int64_t>()) / 2;
     }
     std::string key = std::move(stock.keys.front());
     stock.keys.pop_front();
@@ -126,8 +125,8 @@
     SendRecord record;
     record.nonce = nonce;
     const std::size_t entry = (order.shot.number * 7 + sendNumber) % m_entries.size();
-    const Result<HttpResponse> response = exchange(entry, requestOf(order, nonce, key),
-                                                   order.kind.timeout + answerSlack);
+    const Result<HttpResponse> response
+            = exchange(entry, requestOf(order, nonce, key), order.kind.timeout + answerSlack);
     if (!response) {
         const Error error = errorOf(response.error());
         record.reason = errorRow(error).name;
@@ -166,8 +165,8 @@
         if (record.outcome == Outcome::Completed)
             break;
         // What may have run must not be sent without its key.
-        const bool mayResend =
-                order.kind.isIdempotent() || record.outcome == Outcome::NotRun || usesKey;
+        const bool mayResend
+                = order.kind.isIdempotent() || record.outcome == Outcome::NotRun || usesKey;
         if (!mayResend)
             break;
         if (!order.kind.isIdempotent() && record.outcome == Outcome::NotRun) {
--- a/programs/load/shooter.h
+++ b/programs/load/shooter.h
@@ -28,8 +28,8 @@
 {
     Shot shot;
     Outcome outcome = Outcome::Unknown; ///< of the last send
-    Duration latency{0}; ///< from when the request was due
-    Duration finished{0}; ///< after the start
+    Duration latency{0};                ///< from when the request was due
+    Duration finished{0};               ///< after the start
     std::vector<SendRecord> sends;
     std::uint32_t attempts = 0; ///< made by entry nodes, summed over the sends
     AnswerFault fault = AnswerFault::None;
--- a/programs/platform/main.cpp
+++ b/programs/platform/main.cpp
@@ -43,8 +43,7 @@
     if (row->value().version == 0)
         return errorResponse(Error::NotFound, "key");
     HttpResponse response;
-    response.body = nlohmann::json{{"value", row->value().value},
-                                   {"version", row->value().version}}
+    response.body = nlohmann::json{{"value", row->value().value}, {"version", row->value().version}}
                             .dump();
     return response;
 }
--- a/programs/platform/store.cpp
+++ b/programs/platform/store.cpp
@@ -20,12 +20,12 @@
     : m_reads(settings.readsPerSecond)
     , m_writes(settings.writesPerSecond)
     , m_random(settings.seed)
-{
-}
+{}
 
 void Store::handle(StoreMessage &&message, TimePoint now)
 {
-    std::visit([this, now](auto &&kind) { on(std::move(kind), now); }, std::move(message));
+    std::visit([this, now](auto &&kind) { on(std::forward<decltype(kind)>(kind), now); },
+               std::move(message));
 }
 
 TimePoint Store::tick(TimePoint now)
@@ -77,7 +77,7 @@
     } else {
         answer.error = commit(message.transaction);
         answer.isLost = std::uniform_real_distribution<double>()(m_random)
-                < m_counters.faults.loseAnswers;
+                        < m_counters.faults.loseAnswers;
     }
     message.reply->post(answer);
 }
--- a/programs/platform/store.h
+++ b/programs/platform/store.h
@@ -14,8 +14,8 @@
 /// Faults that an experiment can set.
 struct PlatformFaults
 {
-    bool isDown = false; ///< every request is refused with 503
-    Duration delay{0}; ///< before each answer
+    bool isDown = false;      ///< every request is refused with 503
+    Duration delay{0};        ///< before each answer
     double loseAnswers = 0.0; ///< share of transactions that take effect without an answer
 };
 
@@ -62,7 +62,10 @@
 class RateLimit
 {
 public:
-    explicit RateLimit(double perSecond) : m_perSecond(perSecond), m_left(perSecond) { }
+    explicit RateLimit(double perSecond)
+        : m_perSecond(perSecond)
+        , m_left(perSecond)
+    {}
 
     bool take(TimePoint now);
 
--- a/programs/upstream/announcer.cpp
+++ b/programs/upstream/announcer.cpp
@@ -17,8 +17,7 @@
 Announcer::Announcer(Settings settings)
     : m_settings(std::move(settings))
     , m_startId(toHex(randomNumber()))
-{
-}
+{}
 
 void Announcer::handle(LeaveWanted &&message, TimePoint)
 {
@@ -38,12 +37,13 @@
     HttpRequest request;
     request.method = "POST";
     request.path = "/announce";
-    request.body = nlohmann::json{{"service", m_settings.service},
-                                  {"address", m_settings.self.toString()},
-                                  {"slots", m_settings.slots},
-                                  {"state", m_drained ? "leaving" : "serving"},
-                                  {"startId", m_startId}}
-                           .dump();
+    request.body = nlohmann::json{
+            {"service", m_settings.service},
+            {"address", m_settings.self.toString()},
+            {"slots", m_settings.slots},
+            {"state", m_drained ? "leaving" : "serving"},
+            {"startId",
+             m_startId}}.dump();
     if (!m_connection) {
         Result<HttpConnection> connection = HttpConnection::connect(m_settings.node);
         if (connection)
--- a/programs/upstream/service.cpp
+++ b/programs/upstream/service.cpp
@@ -19,10 +19,10 @@
 constexpr char timeoutHeader[] = "Request-Timeout";
 constexpr char notRunHeader[] = "Execution-Not-Run";
 
-std::string headerOr(const HttpRequest &request, const char *header, std::string otherwise)
+std::string headerOr(const HttpRequest &request, const char *header, const std::string &otherwise)
 {
     const std::string *found = findHeader(request.headers, header);
-    return found == nullptr ? std::move(otherwise) : *found;
+    return found == nullptr ? otherwise : *found;
 }
 
 Duration timeoutOf(const HttpRequest &request)
@@ -86,8 +86,7 @@
     : m_settings(std::move(settings))
     , m_workshop(workshop)
     , m_dropsContext(m_settings.dropsContext)
-{
-}
+{}
 
 HttpResponse Service::handle(const HttpRequest &request)
 {
--- a/programs/upstream/service.h
+++ b/programs/upstream/service.h
@@ -13,11 +13,11 @@
 {
     std::string service;
     std::string instance;
-    Endpoint node; ///< the upstream's door of its own node
-    std::string next; ///< service called by each execution; empty for none
-    std::uint32_t fanOut = 1; ///< calls to the next service
-    double longFactor = 50.0; ///< cost of operations whose name starts with "long"
-    bool mayCrash = false; ///< a request with "crash" in its body ends the process
+    Endpoint node;             ///< the upstream's door of its own node
+    std::string next;          ///< service called by each execution; empty for none
+    std::uint32_t fanOut = 1;  ///< calls to the next service
+    double longFactor = 50.0;  ///< cost of operations whose name starts with "long"
+    bool mayCrash = false;     ///< a request with "crash" in its body ends the process
     bool dropsContext = false; ///< calls further down don't say for whom they are made
 };
 
--- a/programs/upstream/workshop.cpp
+++ b/programs/upstream/workshop.cpp
@@ -9,12 +9,12 @@
     : m_behaviour(behaviour)
     , m_random(seed)
     , m_started(monotonicNow())
-{
-}
+{}
 
 void Workshop::handle(WorkshopMessage &&message, TimePoint now)
 {
-    std::visit([this, now](auto &&kind) { on(std::move(kind), now); }, std::move(message));
+    std::visit([this, now](auto &&kind) { on(std::forward<decltype(kind)>(kind), now); },
+               std::move(message));
 }
 
 TimePoint Workshop::tick(TimePoint now)
@@ -24,7 +24,7 @@
         Running running = std::move(m_running.begin()->second);
         m_running.erase(m_running.begin());
         const Ending ending = running.fails ? Ending::Failed : Ending::Done;
-        finish(std::move(running), ending);
+        finish(running, ending);
     }
     startWaiting(now);
     if (m_running.empty())
@@ -61,7 +61,7 @@
     }
 }
 
-void Workshop::finish(Running running, Ending ending)
+void Workshop::finish(const Running &running, Ending ending)
 {
     if (ending == Ending::Cancelled) {
         ++m_counters.cancelled;
@@ -85,9 +85,8 @@
 
 void Workshop::on(ExecutionCancelled &&message, TimePoint)
 {
-    const auto isMeant = [&](const ExecutionBegun &begun) {
-        return begun.execution == message.execution;
-    };
+    const auto isMeant
+            = [&](const ExecutionBegun &begun) { return begun.execution == message.execution; };
     const auto waiting = std::find_if(m_waiting.begin(), m_waiting.end(), isMeant);
     if (waiting != m_waiting.end()) {
         ++m_counters.shed;
@@ -102,7 +101,7 @@
         return;
     Running cancelled = std::move(running->second);
     m_running.erase(running);
-    finish(std::move(cancelled), Ending::Cancelled);
+    finish(cancelled, Ending::Cancelled);
 }
 
 void Workshop::on(BehaviourChanged &&message, TimePoint now)
--- a/programs/upstream/workshop.h
+++ b/programs/upstream/workshop.h
@@ -16,13 +16,13 @@
 /// How the stand-in behaves; an experiment may change it while it runs.
 struct Behaviour
 {
-    double meanMs = 5.0; ///< service time of ordinary work
-    double spread = 0.3; ///< relative standard deviation of the service time
-    double slowFactor = 1.0; ///< on all service times
-    std::uint32_t slots = 16; ///< executions at once; more wait inside
-    std::uint32_t knee = 16; ///< executions above which each slows the others
+    double meanMs = 5.0;            ///< service time of ordinary work
+    double spread = 0.3;            ///< relative standard deviation of the service time
+    double slowFactor = 1.0;        ///< on all service times
+    std::uint32_t slots = 16;       ///< executions at once; more wait inside
+    std::uint32_t knee = 16;        ///< executions above which each slows the others
     std::uint32_t shedAbove = 1000; ///< executions and waiters above which it sheds
-    double failShare = 0.0; ///< of executions that answer 500
+    double failShare = 0.0;         ///< of executions that answer 500
     double coldSeconds = 0.0; ///< after the start, service takes up to coldFactor times as long
     double coldFactor = 4.0;
     Duration stallUntilAfter{0}; ///< a stall of this length starts now
@@ -33,8 +33,8 @@
 
 struct ExecutionBegun
 {
-    std::string execution; ///< id from the node, empty if called directly
-    std::string nonce; ///< of the caller's request
+    std::string execution;   ///< id from the node, empty if called directly
+    std::string nonce;       ///< of the caller's request
     double costFactor = 1.0; ///< of the kind of request
     std::shared_ptr<ReplySlot<Ending>> reply;
 };
@@ -105,7 +105,7 @@
     void on(CountersWanted &&message, TimePoint now);
 
     void startWaiting(TimePoint now);
-    void finish(Running running, Ending ending);
+    void finish(const Running &running, Ending ending);
     Duration serviceTime(double costFactor, TimePoint now);
 
     Behaviour m_behaviour;
--- a/src/admission/cost.cpp
+++ b/src/admission/cost.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr double meanWeight = 0.1; ///< of a new sample
-constexpr double shareDecay = 0.999; ///< per sample
-constexpr double longFactor = 6.0; ///< times the typical cost
+constexpr double meanWeight = 0.1;            ///< of a new sample
+constexpr double shareDecay = 0.999;          ///< per sample
+constexpr double longFactor = 6.0;            ///< times the typical cost
 constexpr std::uint32_t refreshInterval = 32; ///< samples
 constexpr Duration shortMemory = std::chrono::seconds(1);
 
@@ -50,9 +50,8 @@
 Duration CostBook::expected(const OperationName &operation) const
 {
     const auto found = m_costs.find(operation);
-    return found == m_costs.end()
-            ? Duration{0}
-            : Duration{static_cast<Duration::rep>(found->second.mean)};
+    return found == m_costs.end() ? Duration{0}
+                                  : Duration{static_cast<Duration::rep>(found->second.mean)};
 }
 
 bool CostBook::isLong(const OperationName &operation) const
--- a/src/admission/cost.h
+++ b/src/admission/cost.h
@@ -22,7 +22,7 @@
 private:
     struct Cost
     {
-        double mean = 0.0; ///< microseconds
+        double mean = 0.0;  ///< microseconds
         double share = 0.0; ///< of recent work, decaying
     };
 
--- a/src/admission/limiter.cpp
+++ b/src/admission/limiter.cpp
@@ -9,17 +9,22 @@
 
 constexpr Duration windowLength = std::chrono::milliseconds(100);
 constexpr std::size_t minWindowSamples = 8;
-constexpr double coldStartShare = 0.2; ///< of the announced slots
-constexpr double minColdStart = 2.0;
-constexpr double growth = 1.15; ///< per window while the limit is reached
+
+constexpr double coldStart = 2.0;  ///< low, so that the floor is learned without congestion
+constexpr double fastGrowth = 1.6; ///< per window while the limit is reached
+constexpr double slowGrowth = 1.1; ///< when latencies begin to stretch
+constexpr double noticeableStretch = 1.2;
 constexpr double tolerableStretch = 1.5; ///< latency over the uncongested latency
-constexpr double minShrink = 0.7; ///< per window
+constexpr double minShrink = 0.7;        ///< per window
 constexpr double shedShrink = 0.8;
 constexpr Duration minShrinkInterval = std::chrono::milliseconds(50);
-constexpr double floorDrift = 1.002; ///< per window, so that a slower upstream is learned
-constexpr double reachedShare = 0.8; ///< of the limit, to count as reached
+constexpr double floorDrift = 1.0002; ///< per window
+constexpr double bottomShare = 0.1;   ///< of the ceiling; less load can hardly be had
+constexpr double minBottom = 2.0;
+constexpr int bottomPatience = 5; ///< stretched windows at the bottom until the floor is relearned
+constexpr double reachedShare = 0.8;  ///< of the limit, to count as reached
 constexpr double latencyWeight = 0.1; ///< of a new sample in the typical latency
-constexpr double stallFactor = 8.0; ///< typical latencies without any end
+constexpr double stallFactor = 8.0;   ///< typical latencies without any end
 constexpr Duration minStall = std::chrono::milliseconds(500);
 
 using CreateFunction = std::unique_ptr<Limiter> (*)();
@@ -62,10 +67,11 @@
     m_operations.clear();
     m_samples = 0;
     m_peakInFlight = 0;
+    m_stretchedAtBottom = 0;
     m_typicalLatency = 0.0;
     m_windowStart = now;
     m_lastEnd = now;
-    m_limit = std::min(m_ceiling, std::max(minColdStart, m_ceiling * coldStartShare));
+    m_limit = std::min(m_ceiling, coldStart);
 }
 
 void AdaptiveLimiter::onStart(std::uint32_t inFlight, TimePoint now)
@@ -86,8 +92,8 @@
     }
     const auto latency = static_cast<double>(sample.latency.count());
     m_typicalLatency = m_typicalLatency == 0.0
-            ? latency
-            : m_typicalLatency + latencyWeight * (latency - m_typicalLatency);
+                               ? latency
+                               : m_typicalLatency + latencyWeight * (latency - m_typicalLatency);
     m_operations[sample.operation].window.push_back(sample.latency);
     ++m_samples;
     if (now - m_windowStart >= windowLength && m_samples >= minWindowSamples)
@@ -116,16 +122,35 @@
 void AdaptiveLimiter::closeWindow(TimePoint now)
 {
     const double stretch = windowStretch();
+    noteBottom(stretch);
     const bool isReached = m_peakInFlight >= reachedShare * m_limit;
     if (stretch > tolerableStretch)
         shrink(std::max(minShrink, tolerableStretch / stretch), now);
     else if (isReached)
-        m_limit = std::min(m_ceiling, std::max(m_limit + 1.0, m_limit * growth));
+        grow(stretch < noticeableStretch ? fastGrowth : slowGrowth);
     m_samples = 0;
     m_peakInFlight = 0;
     m_windowStart = now;
 }
 
+/// An upstream that stays slow with hardly any load is not congested: it has become slower.
+void AdaptiveLimiter::noteBottom(double stretch)
+{
+    const double bottom = std::max(minBottom, m_ceiling * bottomShare);
+    const bool isStretched = stretch > tolerableStretch && m_peakInFlight <= bottom;
+    m_stretchedAtBottom = isStretched ? m_stretchedAtBottom + 1 : 0;
+    if (m_stretchedAtBottom < bottomPatience)
+        return;
+    m_stretchedAtBottom = 0;
+    for (auto &[name, operation] : m_operations)
+        operation.floor.reset();
+}
+
+void AdaptiveLimiter::grow(double factor)
+{
+    m_limit = std::min(m_ceiling, std::max(m_limit + 1.0, m_limit * factor));
+}
+
 void AdaptiveLimiter::shrink(double factor, TimePoint now)
 {
     if (now - m_lastShrink < minShrinkInterval)
--- a/src/admission/limiter.h
+++ b/src/admission/limiter.h
@@ -43,10 +43,10 @@
 {
 public:
     void announce(Slots slots, TimePoint) override { m_slots = slots; }
-    void restart(TimePoint) override { }
-    void onStart(std::uint32_t, TimePoint) override { }
-    void onEnd(const ExecutionSample &, std::uint32_t, TimePoint) override { }
-    void tick(std::uint32_t, TimePoint) override { }
+    void restart(TimePoint) override {}
+    void onStart(std::uint32_t, TimePoint) override {}
+    void onEnd(const ExecutionSample &, std::uint32_t, TimePoint) override {}
+    void tick(std::uint32_t, TimePoint) override {}
     Slots limit() const override { return m_slots; }
 
 private:
@@ -76,12 +76,15 @@
 
     void closeWindow(TimePoint now);
     double windowStretch();
+    void noteBottom(double stretch);
+    void grow(double factor);
     void shrink(double factor, TimePoint now);
 
     double m_limit = 1.0;
     double m_ceiling = 1.0;
     std::uint32_t m_peakInFlight = 0; ///< within the window
     std::size_t m_samples = 0;
+    int m_stretchedAtBottom = 0; ///< windows in a row
     std::map<OperationName, Operation> m_operations;
     TimePoint m_windowStart;
     TimePoint m_lastShrink;
--- a/src/admission/queue.cpp
+++ b/src/admission/queue.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-using RulingFunction = std::strong_ordering (*)(const Claim &a, const Claim &b, const Ruling &ruling);
+using RulingFunction
+        = std::strong_ordering (*)(const Claim &a, const Claim &b, const Ruling &ruling);
 
 std::strong_ordering byDeadline(const Claim &a, const Claim &b, const Ruling &)
 {
@@ -54,15 +55,14 @@
 }
 
 /// In the order of QueueOrder.
-const ClaimQueue::LessFunction ClaimQueue::lessFunctions[2] = {&ClaimQueue::rankedLess,
-                                                               &ClaimQueue::arrivalLess};
+const ClaimQueue::LessFunction ClaimQueue::lessFunctions[2]
+        = {&ClaimQueue::rankedLess, &ClaimQueue::arrivalLess};
 
 ClaimQueue::ClaimQueue(QueueOrder order, std::size_t capacity)
     : m_less(lessFunctions[static_cast<std::size_t>(order)])
     , m_capacity(capacity)
     , m_entries(Less{this})
-{
-}
+{}
 
 bool ClaimQueue::Less::operator()(const Entry &a, const Entry &b) const
 {
@@ -100,9 +100,8 @@
 
 std::optional<Claim> ClaimQueue::pop(const std::function<bool(const Claim &)> &mayStart)
 {
-    const auto found = std::find_if(m_entries.begin(), m_entries.end(), [&](const Entry &entry) {
-        return mayStart(entry.claim);
-    });
+    const auto found = std::find_if(m_entries.begin(), m_entries.end(),
+                                    [&](const Entry &entry) { return mayStart(entry.claim); });
     if (found == m_entries.end())
         return std::nullopt;
     const Claim claim = found->claim;
@@ -112,10 +111,10 @@
 
 bool ClaimQueue::remove(ExecutionId execution)
 {
-    return std::erase_if(m_entries, [execution](const Entry &entry) {
-               return entry.claim.execution == execution;
-           })
-            > 0;
+    return std::erase_if(
+                   m_entries,
+                   [execution](const Entry &entry) { return entry.claim.execution == execution; })
+           > 0;
 }
 
 std::vector<Claim> ClaimQueue::removeIf(const std::function<bool(const Claim &)> &isHopeless)
--- a/src/admission/queue.h
+++ b/src/admission/queue.h
@@ -28,7 +28,7 @@
 
 /// How a queue orders claims.
 enum class QueueOrder {
-    Ranked, ///< rank, ruling, request
+    Ranked,          ///< rank, ruling, request
     FirstInFirstOut, ///< the naive baseline
 };
 
--- /dev/null
+++ b/src/admission/tests/test_admission.cpp
@@ -0,0 +1,254 @@
+#define BOOST_TEST_MODULE admission
+#include "admission/admission.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cmath>
+#include <queue>
+#include <random>
+
+using namespace buckthornford;
+
+namespace {
+
+TimePoint at(std::int64_t microseconds)
+{
+    return TimePoint{Duration{microseconds}};
+}
+
+Claim makeClaim(std::uint64_t id, int rank, int entered, int deadline, int name)
+{
+    static const std::vector<std::string> names{"p", "q", "r"};
+    Claim claim;
+    claim.execution = ExecutionId{id};
+    claim.rank = Rank{static_cast<std::uint32_t>(rank)};
+    claim.caller = CallerName{names[static_cast<std::size_t>(name)]};
+    claim.operation = OperationName{names[static_cast<std::size_t>(name)]};
+    claim.entered = at(entered);
+    claim.deadline = at(deadline);
+    claim.requestHash = static_cast<std::uint64_t>(entered % 3);
+    return claim;
+}
+
+rc::Gen<std::vector<Claim>> claims()
+{
+    return rc::gen::map(rc::gen::container<std::vector<std::tuple<int, int, int, int>>>(
+                                rc::gen::tuple(rc::gen::inRange(0, 4), rc::gen::inRange(0, 50),
+                                               rc::gen::inRange(0, 50), rc::gen::inRange(0, 3))),
+                        [](const auto &rows) {
+                            std::vector<Claim> result;
+                            for (const auto &[rank, entered, deadline, name] : rows)
+                                result.push_back(
+                                        makeClaim(result.size(), rank, entered, deadline, name));
+                            return result;
+                        });
+}
+
+Ruling rulingFor(int order)
+{
+    return {static_cast<RulingOrder>(order), {"q", "p"}};
+}
+
+bool always(const Claim &)
+{
+    return true;
+}
+
+} // namespace
+
+/// The naive version sorts everything at every step.
+BOOST_AUTO_TEST_CASE(theQueueAgreesWithSorting)
+{
+    BOOST_TEST(rc::check("same order, same evictions as a full sort", [] {
+        const auto input = *claims();
+        const Ruling ruling = rulingFor(*rc::gen::inRange(0, 5));
+        const auto capacity = *rc::gen::inRange<std::size_t>(1, 20);
+        ClaimQueue queue(QueueOrder::Ranked, capacity);
+        queue.setRuling(ruling);
+        std::vector<Claim> naive;
+        const auto less
+                = [&ruling](const Claim &a, const Claim &b) { return goesFirst(a, b, ruling); };
+        for (const Claim &claim : input) {
+            const auto evicted = queue.push(claim);
+            naive.push_back(claim);
+            std::sort(naive.begin(), naive.end(), less);
+            RC_ASSERT(evicted.has_value() == (naive.size() > capacity));
+            if (evicted) {
+                RC_ASSERT(*evicted == naive.back().execution);
+                naive.pop_back();
+            }
+        }
+        for (const Claim &expected : naive)
+            RC_ASSERT(queue.pop(always)->execution == expected.execution);
+        RC_ASSERT(!queue.pop(always).has_value());
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(theOrderIsTotal)
+{
+    BOOST_TEST(rc::check("exactly one of two claims goes first, and order is transitive", [] {
+        const auto input
+                = *rc::gen::suchThat(claims(), [](const auto &c) { return c.size() >= 3; });
+        const Ruling ruling = rulingFor(*rc::gen::inRange(0, 5));
+        const Claim &a = input[0];
+        const Claim &b = input[1];
+        const Claim &c = input[2];
+        RC_ASSERT(goesFirst(a, b, ruling) != goesFirst(b, a, ruling));
+        if (goesFirst(a, b, ruling) && goesFirst(b, c, ruling))
+            RC_ASSERT(goesFirst(a, c, ruling));
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(noImportantClaimIsShedWhileALesserOneStays)
+{
+    BOOST_TEST(rc::check("the evicted claim never outranks one that stays", [] {
+        const auto input = *claims();
+        ClaimQueue queue(QueueOrder::Ranked, 5);
+        std::vector<Claim> inside;
+        for (const Claim &claim : input) {
+            inside.push_back(claim);
+            const auto evicted = queue.push(claim);
+            if (!evicted)
+                continue;
+            const auto gone = std::find_if(inside.begin(), inside.end(),
+                                           [&](const Claim &c) { return c.execution == *evicted; });
+            const Rank rank = gone->rank;
+            inside.erase(gone);
+            for (const Claim &stays : inside)
+                RC_ASSERT(stays.rank <= rank);
+        }
+    }));
+}
+
+namespace {
+
+/// An upstream whose executions slow each other above a knee.
+struct ModelUpstream
+{
+    explicit ModelUpstream(double kneeAt)
+        : knee(kneeAt)
+    {}
+
+    double knee;
+    double baseMs = 10.0;
+    std::mt19937_64 random{11};
+    std::priority_queue<std::pair<std::int64_t, std::int64_t>,
+                        std::vector<std::pair<std::int64_t, std::int64_t>>, std::greater<>>
+            running; ///< end, start
+
+    void begin(std::int64_t now)
+    {
+        std::normal_distribution<double> noise(1.0, 0.2);
+        const double slow = std::max(1.0, static_cast<double>(running.size() + 1) / knee);
+        const double time = baseMs * 1000.0 * slow * std::max(0.3, noise(random));
+        running.emplace(now + static_cast<std::int64_t>(time), now);
+    }
+};
+
+/// Keeps \a limiter saturated for \a seconds; returns the mean limit over the last half.
+double saturate(Limiter *limiter, ModelUpstream *model, double seconds, std::int64_t begin)
+{
+    double sum = 0.0;
+    int count = 0;
+    const auto end = begin + static_cast<std::int64_t>(seconds * 1e6);
+    for (std::int64_t now = begin; now < end; now += 500) {
+        while (!model->running.empty() && model->running.top().first <= now) {
+            const std::int64_t started = model->running.top().second;
+            model->running.pop();
+            limiter->onEnd({OperationName{"op"}, Duration{now - started}},
+                           static_cast<std::uint32_t>(model->running.size()), at(now));
+        }
+        while (model->running.size() < limiter->limit().value()) {
+            model->begin(now);
+            limiter->onStart(static_cast<std::uint32_t>(model->running.size()), at(now));
+        }
+        if (now > (begin + end) / 2) {
+            sum += limiter->limit().value();
+            ++count;
+        }
+    }
+    return sum / count;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(theLimitFollowsWhatTheUpstreamCompletes)
+{
+    AdaptiveLimiter limiter;
+    limiter.announce(Slots{200}, at(0));
+    limiter.restart(at(0));
+    ModelUpstream model(20.0);
+    const double found = saturate(&limiter, &model, 20.0, 0);
+    // The announced 200 slots are a lie: above 20 it only gets slower.
+    BOOST_TEST(found >= 15.0);
+    BOOST_TEST(found <= 45.0);
+}
+
+BOOST_AUTO_TEST_CASE(theLimitReachesTheSlotsOfAnHonestUpstream)
+{
+    AdaptiveLimiter limiter;
+    limiter.announce(Slots{40}, at(0));
+    limiter.restart(at(0));
+    BOOST_TEST(limiter.limit().value() < 40);
+    ModelUpstream model(1000.0);
+    const double found = saturate(&limiter, &model, 10.0, 0);
+    BOOST_TEST(found >= 36.0);
+    BOOST_TEST(found <= 40.0);
+}
+
+BOOST_AUTO_TEST_CASE(anUpstreamThatHasBecomeSlowerGetsItsSlotsBack)
+{
+    AdaptiveLimiter limiter;
+    limiter.announce(Slots{40}, at(0));
+    limiter.restart(at(0));
+    ModelUpstream model(1000.0);
+    saturate(&limiter, &model, 10.0, 0);
+    model.baseMs = 50.0;
+    const double found = saturate(&limiter, &model, 60.0, 10'000'000);
+    BOOST_TEST(found >= 30.0);
+}
+
+BOOST_AUTO_TEST_CASE(aStallStopsAdmissionAndEnds)
+{
+    AdaptiveLimiter limiter;
+    limiter.announce(Slots{10}, at(0));
+    limiter.restart(at(0));
+    limiter.onStart(1, at(0));
+    limiter.onEnd({OperationName{"op"}, Duration{5000}}, 0, at(5000));
+    limiter.onStart(1, at(6000));
+    limiter.tick(1, at(400'000));
+    BOOST_TEST(limiter.limit().value() > 0);
+    limiter.tick(1, at(700'000));
+    BOOST_TEST(limiter.limit().value() == 0);
+    limiter.onEnd({OperationName{"op"}, Duration{900'000}}, 0, at(900'000));
+    BOOST_TEST(limiter.limit().value() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(longKindsAreLearned)
+{
+    CostBook costs;
+    for (int i = 0; i < 400; ++i) {
+        costs.record(OperationName{"status"}, Duration{10'000});
+        if (i % 100 == 0)
+            costs.record(OperationName{"export"}, Duration{500'000});
+    }
+    BOOST_TEST(costs.isLong(OperationName{"export"}));
+    BOOST_TEST(!costs.isLong(OperationName{"status"}));
+    BOOST_TEST(!costs.isLong(OperationName{"unheard"}));
+}
+
+BOOST_AUTO_TEST_CASE(longWorkLeavesRoomOnlyWhileShortWorkArrives)
+{
+    ShortReserve reserve;
+    reserve.noteShortArrival(Rank{1}, at(0));
+    for (int i = 0; i < 7; ++i) {
+        BOOST_TEST(reserve.mayStartLong(Rank{1}, Slots{10}, 0.3, at(10)));
+        reserve.noteStart(true);
+    }
+    BOOST_TEST(!reserve.mayStartLong(Rank{1}, Slots{10}, 0.3, at(10)));
+    // More important long work is not held back by lesser short work.
+    BOOST_TEST(reserve.mayStartLong(Rank{0}, Slots{10}, 0.3, at(10)));
+    BOOST_TEST(reserve.mayStartLong(Rank{1}, Slots{10}, 0.3, at(2'000'000)));
+}
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -26,7 +26,7 @@
     ServiceName service;
     OperationName operation;
     std::string method; ///< HTTP method, kept for the upstream
-    std::string query; ///< query string, kept for the upstream
+    std::string query;  ///< query string, kept for the upstream
     ClassName className;
     CallerName caller;
     bool idempotent = false;
@@ -42,8 +42,8 @@
     AttemptNumber attempt;
     Work work;
     Duration timeLeft{0}; ///< until the deadline, from the moment of sending
-    Duration age{0}; ///< since the request entered the system
-    Tokens budget; ///< retries lent to the part of the chain below
+    Duration age{0};      ///< since the request entered the system
+    Tokens budget;        ///< retries lent to the part of the chain below
     Depth depth;
     Revision revision;
     TraceContext trace;
@@ -66,7 +66,7 @@
     Outcome outcome = Outcome::Completed;
     Error reason = Error::None;
     bool retryable = false; ///< another target may do better
-    int status = 0; ///< the upstream's HTTP status; 0 if it didn't answer
+    int status = 0;         ///< the upstream's HTTP status; 0 if it didn't answer
     std::string contentType;
     std::string body;
     std::uint64_t bodyChecksum = 0;
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -72,9 +72,9 @@
 struct ErrorRow
 {
     Error error;
-    std::string_view name; ///< stable, in JSON answers and logs
+    std::string_view name;    ///< stable, in JSON answers and logs
     std::string_view message; ///< one sentence for people
-    int httpStatus; ///< status at the callers' door
+    int httpStatus;           ///< status at the callers' door
 };
 
 /// Returns the row of \a error; every value has one.
@@ -93,8 +93,8 @@
 
 /// A value or an error; only broken invariants stop the process.
 template <class T>
-using Result = boost::outcome_v2::basic_result<T, std::error_code,
-                                               boost::outcome_v2::policy::terminate>;
+using Result
+        = boost::outcome_v2::basic_result<T, std::error_code, boost::outcome_v2::policy::terminate>;
 
 /// The success value of Result<void>.
 inline auto success()
@@ -106,5 +106,4 @@
 
 template <>
 struct std::is_error_code_enum<buckthornford::Error> : std::true_type
-{
-};
+{};
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -17,7 +17,9 @@
     using Value = T;
 
     constexpr Strong() = default;
-    constexpr explicit Strong(T value) : m_value(std::move(value)) { }
+    constexpr explicit Strong(T value)
+        : m_value(std::move(value))
+    {}
 
     constexpr const T &value() const { return m_value; }
 
@@ -42,10 +44,10 @@
 using PresetName = Strong<std::string, struct PresetTag>;
 using ChangeId = Strong<std::string, struct ChangeTag>; ///< operator's id of one change
 
-using RequestId = Strong<std::uint64_t, struct RequestTag>; ///< a call within its entry node
+using RequestId = Strong<std::uint64_t, struct RequestTag>;     ///< a call within its entry node
 using ExecutionId = Strong<std::uint64_t, struct ExecutionTag>; ///< a run within its node
 using AttemptNumber = Strong<std::uint32_t, struct AttemptTag>;
-using Revision = Strong<std::uint64_t, struct RevisionTag>; ///< of the configuration
+using Revision = Strong<std::uint64_t, struct RevisionTag>;       ///< of the configuration
 using Incarnation = Strong<std::uint64_t, struct IncarnationTag>; ///< start of a node process
 
 } // namespace buckthornford
--- a/src/core/units.h
+++ b/src/core/units.h
@@ -17,10 +17,10 @@
 using WallTime = Strong<std::int64_t, struct WallTimeTag>;
 
 using Bytes = Strong<std::uint64_t, struct BytesTag>;
-using Slots = Strong<std::uint32_t, struct SlotsTag>; ///< concurrent executions
+using Slots = Strong<std::uint32_t, struct SlotsTag>;   ///< concurrent executions
 using Tokens = Strong<std::uint32_t, struct TokensTag>; ///< retries of a call chain
-using Rank = Strong<std::uint32_t, struct RankTag>; ///< 0 is the most important class
-using Depth = Strong<std::uint32_t, struct DepthTag>; ///< hops from the first caller
+using Rank = Strong<std::uint32_t, struct RankTag>;     ///< 0 is the most important class
+using Depth = Strong<std::uint32_t, struct DepthTag>;   ///< hops from the first caller
 
 /// Reads the monotonic clock; only tasks and doors call it.
 TimePoint monotonicNow();
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -32,8 +32,7 @@
     : m_settings(std::move(settings))
     , m_router(createRouter(m_settings.policy.router, m_settings.place, m_settings.seed))
     , m_ratio(m_settings.ratio)
-{
-}
+{}
 
 void Entry::setView(const std::vector<Target> &targets, std::vector<DirectoryEntry> directory,
                     TimePoint now)
@@ -97,8 +96,8 @@
     call->revision = configuration.revision;
     if (!request.isFromUpstream)
         call->budget = ChainBudget(rule->retries);
-    const TraceContext trace =
-            request.trace.value_or(TraceContext::create(isSampled(m_settings.sampledShare)));
+    const TraceContext trace
+            = request.trace.value_or(TraceContext::create(isSampled(m_settings.sampledShare)));
     call->parentSpan = trace.span;
     call->trace = trace.child();
     m_ratio.recordRequest(call->work.caller);
@@ -190,8 +189,8 @@
     }
     const PeerRef &peer = pick.value().peer;
     if (call->ownKey)
-        call->work.key =
-                makeKey(peer.instance, peer.incarnation, wall, m_settings.keyLife).toText();
+        call->work.key
+                = makeKey(peer.instance, peer.incarnation, wall, m_settings.keyLife).toText();
     send(call, peer, actions, now);
 }
 
@@ -314,10 +313,9 @@
     }
     for (const RequestId id : ids) {
         Call &call = m_calls.at(id);
-        const auto attempt =
-                std::find_if(call.open.begin(), call.open.end(), [&peer](const Attempt &open) {
-                    return open.peer.instance == peer;
-                });
+        const auto attempt
+                = std::find_if(call.open.begin(), call.open.end(),
+                               [&peer](const Attempt &open) { return open.peer.instance == peer; });
         const Attempt ended = *attempt;
         call.open.erase(attempt);
         Answer answer = refusal(runOf(id, call.work), reason, true);
@@ -355,8 +353,8 @@
 
 void Entry::hedge(Call *call, EntryActions *actions, TimePoint now)
 {
-    const bool mayHedge = call->open.size() == 1 && m_hedgeCredit >= 1.0
-            && call->budget.tokens() > Tokens{0};
+    const bool mayHedge
+            = call->open.size() == 1 && m_hedgeCredit >= 1.0 && call->budget.tokens() > Tokens{0};
     if (!mayHedge)
         return;
     const Result<Pick> pick = m_router->pick(pickRequest(*call), now);
@@ -452,8 +450,7 @@
     }
 }
 
-ChainResult Entry::endExecution(ExecutionId id, TimePoint now, WallTime wall,
-                                EntryActions *actions)
+ChainResult Entry::endExecution(ExecutionId id, TimePoint now, WallTime wall, EntryActions *actions)
 {
     cancelCallsOf(id, now, wall, actions);
     const auto found = m_chains.find(id);
@@ -475,8 +472,7 @@
         if (!pick)
             return pick.error();
         const PeerRef &peer = pick.value().peer;
-        keys.push_back(
-                makeKey(peer.instance, peer.incarnation, wall, m_settings.keyLife).toText());
+        keys.push_back(makeKey(peer.instance, peer.incarnation, wall, m_settings.keyLife).toText());
     }
     return keys;
 }
--- a/src/execution/execution.cpp
+++ b/src/execution/execution.cpp
@@ -86,8 +86,7 @@
     : m_self(std::move(self))
     , m_incarnation(incarnation)
     , m_settings(settings)
-{
-}
+{}
 
 std::optional<Answer> ExecutionRecord::judge(const ExecutionKey &key, const Run &run, WallTime now)
 {
--- a/src/execution/execution.h
+++ b/src/execution/execution.h
@@ -57,12 +57,10 @@
 
     /// The key is new here and is now held for the caller of admit().
     struct Fresh
-    {
-    };
+    {};
     /// The key is queued or running; the answer will go to the new waiter too.
     struct Joined
-    {
-    };
+    {};
     /// The key has ended, or can't be judged; the answer to give.
     struct Settled
     {
--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -38,8 +38,7 @@
     , m_queue(m_settings.policy.order, m_settings.queueCapacity)
     , m_record(m_settings.self, m_settings.incarnation, m_settings.record)
     , m_nextExecution(randomNumber())
-{
-}
+{}
 
 void Gate::announce(Slots slots, bool isNew, TimePoint now)
 {
@@ -143,8 +142,8 @@
 void Gate::startWaiting(GateActions *actions, TimePoint now)
 {
     while (m_hasUpstream && m_inFlight < m_limiter->limit().value()) {
-        const auto claim =
-                m_queue.pop([this, now](const Claim &candidate) { return mayStart(candidate, now); });
+        const auto claim = m_queue.pop(
+                [this, now](const Claim &candidate) { return mayStart(candidate, now); });
         if (!claim)
             return;
         if (m_settings.policy.dropsHopeless && isHopeless(*claim, now)) {
@@ -157,8 +156,7 @@
         ++m_inFlight;
         m_reserve.noteStart(execution.isLong);
         m_limiter->onStart(m_inFlight, now);
-        actions->emplace_back(
-                StartExecution{claim->execution, execution.run, execution.deadline});
+        actions->emplace_back(StartExecution{claim->execution, execution.run, execution.deadline});
     }
 }
 
@@ -173,9 +171,9 @@
         const Result<ExecutionKey> key = ExecutionKey::parse(run.work.key);
         const PeerRef &next = *run.alternate;
         answer.reason = Error::KeyMoved;
-        answer.movedKey = ExecutionKey{next.instance, next.incarnation, key.value().expires,
-                                       randomNumber()}
-                                  .toText();
+        answer.movedKey
+                = ExecutionKey{next.instance, next.incarnation, key.value().expires, randomNumber()}
+                          .toText();
     }
     settle(execution, std::move(answer), actions);
 }
@@ -258,8 +256,8 @@
         return actions;
     const Execution &execution = node.mapped();
     endSlot(execution, result, now);
-    const bool wasNotRun = result.end == UpstreamResult::End::Shed
-            || result.end == UpstreamResult::End::NotSent;
+    const bool wasNotRun
+            = result.end == UpstreamResult::End::Shed || result.end == UpstreamResult::End::NotSent;
     if (wasNotRun) {
         const Error reason = endRows[static_cast<std::size_t>(result.end)].reason;
         const ExecutionId id = result.execution;
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -22,7 +22,7 @@
 {
     LimiterKind limiter = LimiterKind::Adaptive;
     QueueOrder order = QueueOrder::Ranked;
-    bool keepsRecord = true; ///< keyed requests run at most once
+    bool keepsRecord = true;   ///< keyed requests run at most once
     bool dropsHopeless = true; ///< what can't meet its deadline never takes a slot
     bool reservesShort = true; ///< long work leaves slots to short work
 };
@@ -41,10 +41,10 @@
 {
     enum class End {
         Answered, ///< a whole answer, whatever its status
-        Shed, ///< refused by the upstream before it ran
-        NotSent, ///< the connection could not be opened, so nothing was sent
-        Lost, ///< the connection broke after the request was sent
-        Cut, ///< the answer broke off
+        Shed,     ///< refused by the upstream before it ran
+        NotSent,  ///< the connection could not be opened, so nothing was sent
+        Lost,     ///< the connection broke after the request was sent
+        Cut,      ///< the answer broke off
         TimedOut, ///< no answer before the deadline
     };
 
--- /dev/null
+++ b/src/gate/tests/test_gate.cpp
@@ -0,0 +1,245 @@
+#define BOOST_TEST_MODULE gate
+#include "gate/gate.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+using namespace buckthornford;
+
+namespace {
+
+constexpr WallTime wall{1'000'000'000};
+const InstanceId self{"home"};
+constexpr Incarnation incarnation{9};
+
+TimePoint at(std::int64_t milliseconds)
+{
+    return TimePoint{std::chrono::milliseconds(milliseconds)};
+}
+
+Preset preset()
+{
+    Preset preset;
+    preset.classes = {{ClassName{"high"}, Rank{0}, Tokens{3}, std::chrono::seconds(1)},
+                      {ClassName{"low"}, Rank{5}, Tokens{1}, std::chrono::seconds(1)}};
+    return preset;
+}
+
+Gate makeGate(GatePolicy policy = {}, std::size_t capacity = 4)
+{
+    GateSettings settings;
+    settings.self = self;
+    settings.incarnation = incarnation;
+    settings.policy = policy;
+    settings.queueCapacity = capacity;
+    return Gate(settings);
+}
+
+Run makeRun(std::uint64_t request, const char *className, const std::string &key = "")
+{
+    Run run;
+    run.request = RequestId{request};
+    run.attempt = AttemptNumber{1};
+    run.work.className = ClassName{className};
+    run.work.operation = OperationName{"op"};
+    run.work.idempotent = key.empty();
+    run.work.key = key;
+    run.timeLeft = std::chrono::seconds(1);
+    run.budget = Tokens{2};
+    return run;
+}
+
+ReplyTo replyTo(std::uint64_t request)
+{
+    return {1, RequestId{request}, AttemptNumber{1}};
+}
+
+std::string freshKey()
+{
+    return makeKey(self, incarnation, wall, std::chrono::seconds(10)).toText();
+}
+
+template <class Action>
+std::vector<Action> only(const GateActions &actions)
+{
+    std::vector<Action> found;
+    for (const GateAction &action : actions) {
+        if (const auto *match = std::get_if<Action>(&action))
+            found.push_back(*match);
+    }
+    return found;
+}
+
+UpstreamResult answered(ExecutionId id, int status = 200)
+{
+    UpstreamResult result;
+    result.execution = id;
+    result.status = status;
+    result.body = "answer";
+    result.latency = std::chrono::milliseconds(5);
+    return result;
+}
+
+const GatePolicy fixedPolicy{LimiterKind::Fixed};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aKeyedRequestRunsOnceForAllItsSends)
+{
+    Gate gate = makeGate();
+    gate.announce(Slots{4}, true, at(0));
+    const std::string key = freshKey();
+    const auto started = only<StartExecution>(
+            gate.run(makeRun(1, "high", key), replyTo(1), preset(), at(1), wall));
+    BOOST_REQUIRE(started.size() == 1);
+    BOOST_TEST(gate.run(makeRun(2, "high", key), replyTo(2), preset(), at(2), wall).empty());
+    const auto replies
+            = only<Reply>(gate.finish(answered(started[0].execution), {Tokens{2}, false}, at(3)));
+    BOOST_TEST(replies.size() == 2);
+    const auto again
+            = only<Reply>(gate.run(makeRun(3, "high", key), replyTo(3), preset(), at(4), wall));
+    BOOST_REQUIRE(again.size() == 1);
+    BOOST_TEST(again[0].answer.body == "answer");
+}
+
+BOOST_AUTO_TEST_CASE(theNaiveGateRunsAKeyTwice)
+{
+    GatePolicy naive{LimiterKind::Fixed, QueueOrder::FirstInFirstOut, false, false, false};
+    Gate gate = makeGate(naive);
+    gate.announce(Slots{4}, true, at(0));
+    const std::string key = freshKey();
+    std::size_t starts = 0;
+    for (std::uint64_t i = 1; i <= 2; ++i)
+        starts += only<StartExecution>(
+                          gate.run(makeRun(i, "high", key), replyTo(i), preset(), at(1), wall))
+                          .size();
+    BOOST_TEST(starts == 2);
+}
+
+BOOST_AUTO_TEST_CASE(aRefusedKeyMovesToTheAlternateOnceForAll)
+{
+    Gate gate = makeGate(fixedPolicy);
+    Run run = makeRun(1, "high", freshKey());
+    run.alternate = PeerRef{InstanceId{"other"}, Incarnation{3}, "127.0.0.1:2"};
+    const auto first = only<Reply>(gate.run(run, replyTo(1), preset(), at(1), wall));
+    gate.announce(Slots{4}, true, at(2));
+    const auto second = only<Reply>(gate.run(run, replyTo(2), preset(), at(3), wall));
+    BOOST_REQUIRE((first.size() == 1 && second.size() == 1));
+    BOOST_TEST((first[0].answer.reason == Error::KeyMoved));
+    BOOST_TEST(first[0].answer.movedKey == second[0].answer.movedKey);
+    const auto moved = ExecutionKey::parse(first[0].answer.movedKey);
+    BOOST_TEST((moved.value().home == InstanceId{"other"}));
+}
+
+BOOST_AUTO_TEST_CASE(lesserWorkIsShedFirst)
+{
+    Gate gate = makeGate(fixedPolicy, 2);
+    gate.announce(Slots{1}, true, at(0));
+    gate.run(makeRun(1, "low"), replyTo(1), preset(), at(1), wall);
+    gate.run(makeRun(2, "low"), replyTo(2), preset(), at(1), wall);
+    gate.run(makeRun(3, "low"), replyTo(3), preset(), at(1), wall);
+    const auto refused
+            = only<Reply>(gate.run(makeRun(4, "high"), replyTo(4), preset(), at(1), wall));
+    BOOST_REQUIRE(refused.size() == 1);
+    BOOST_TEST((refused[0].answer.outcome == Outcome::NotRun));
+    BOOST_TEST((refused[0].to != replyTo(4)));
+}
+
+BOOST_AUTO_TEST_CASE(hopelessWorkNeverTakesASlot)
+{
+    Gate gate = makeGate(fixedPolicy);
+    gate.announce(Slots{1}, true, at(0));
+    const auto first
+            = only<StartExecution>(gate.run(makeRun(1, "high"), replyTo(1), preset(), at(0), wall));
+    Run late = makeRun(2, "high");
+    late.timeLeft = std::chrono::milliseconds(50);
+    gate.run(late, replyTo(2), preset(), at(1), wall);
+    const GateActions actions = gate.finish(answered(first[0].execution), {}, at(48));
+    BOOST_TEST(only<StartExecution>(actions).empty());
+    const auto replies = only<Reply>(actions);
+    BOOST_REQUIRE(replies.size() == 2);
+    BOOST_TEST((replies[1].answer.reason == Error::DeadlineExpired));
+}
+
+BOOST_AUTO_TEST_CASE(aDrainingGateFinishesWhatItHas)
+{
+    Gate gate = makeGate(fixedPolicy);
+    gate.announce(Slots{1}, true, at(0));
+    const auto first
+            = only<StartExecution>(gate.run(makeRun(1, "high"), replyTo(1), preset(), at(0), wall));
+    gate.run(makeRun(2, "high"), replyTo(2), preset(), at(0), wall);
+    gate.startDraining();
+    const auto refused
+            = only<Reply>(gate.run(makeRun(3, "high"), replyTo(3), preset(), at(1), wall));
+    BOOST_TEST((refused[0].answer.reason == Error::TargetLeaving));
+    const GateActions actions = gate.finish(answered(first[0].execution), {}, at(5));
+    const auto second = only<StartExecution>(actions);
+    BOOST_REQUIRE(second.size() == 1);
+    BOOST_TEST(!gate.isIdle());
+    gate.finish(answered(second[0].execution), {}, at(10));
+    BOOST_TEST(gate.isIdle());
+}
+
+BOOST_AUTO_TEST_CASE(aLostUpstreamLeavesTheOutcomeUnknown)
+{
+    Gate gate = makeGate(fixedPolicy);
+    gate.announce(Slots{1}, true, at(0));
+    const auto first = only<StartExecution>(
+            gate.run(makeRun(1, "high", freshKey()), replyTo(1), preset(), at(0), wall));
+    UpstreamResult lost = answered(first[0].execution);
+    lost.end = UpstreamResult::End::Lost;
+    const auto replies = only<Reply>(gate.finish(lost, {}, at(5)));
+    BOOST_TEST((replies[0].answer.outcome == Outcome::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(everyRunGetsOneReplyAndSlotsAreNeverExceeded)
+{
+    BOOST_TEST(rc::check("one reply for each run, in-flight within the slots", [] {
+        Gate gate = makeGate(fixedPolicy, 3);
+        gate.announce(Slots{2}, true, at(0));
+        std::map<std::uint64_t, int> replies;
+        std::vector<ExecutionId> running;
+        const auto take = [&](const GateActions &actions) {
+            for (const auto &start : only<StartExecution>(actions))
+                running.push_back(start.execution);
+            for (const auto &reply : only<Reply>(actions))
+                ++replies[reply.to.request.value()];
+            RC_ASSERT(running.size() <= 2);
+        };
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
+        std::uint64_t sent = 0;
+        std::int64_t now = 0;
+        for (const int step : steps) {
+            now += 3;
+            if (step <= 3) {
+                ++sent;
+                const char *className = step % 2 == 0 ? "high" : "low";
+                const std::string key = step == 3 ? freshKey() : "";
+                take(gate.run(makeRun(sent, className, key), replyTo(sent), preset(), at(now),
+                              wall));
+            } else if (step <= 5 && !running.empty()) {
+                const ExecutionId id = running.front();
+                running.erase(running.begin());
+                UpstreamResult result = answered(id, step == 4 ? 200 : 500);
+                take(gate.finish(result, {}, at(now)));
+            } else if (step == 6 && sent > 0) {
+                for (const auto &cancel :
+                     only<CancelExecution>(gate.cancel(replyTo(sent), at(now))))
+                    RC_ASSERT(std::find(running.begin(), running.end(), cancel.execution)
+                              != running.end());
+            } else {
+                take(gate.tick(at(now), wall));
+            }
+        }
+        while (!running.empty()) {
+            const ExecutionId id = running.front();
+            running.erase(running.begin());
+            take(gate.finish(answered(id), {}, at(now)));
+        }
+        for (const auto &[request, count] : replies)
+            RC_ASSERT(count == 1);
+    }));
+}
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -17,7 +17,7 @@
         text += "?" + request.query;
     text += " HTTP/1.1\r\nHost: " + endpoint.toString() + "\r\nConnection: keep-alive\r\n";
     for (const auto &[name, value] : request.headers)
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     if (!request.body.empty() || request.method != "GET")
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     text += "\r\n";
@@ -41,15 +41,13 @@
 HttpConnection::HttpConnection(mg_connection *connection, Endpoint endpoint)
     : m_connection(connection)
     , m_endpoint(std::move(endpoint))
-{
-}
+{}
 
 HttpConnection::HttpConnection(HttpConnection &&other) noexcept
     : m_connection(std::exchange(other.m_connection, nullptr))
     , m_endpoint(std::move(other.m_endpoint))
     , m_mustClose(other.m_mustClose)
-{
-}
+{}
 
 HttpConnection &HttpConnection::operator=(HttpConnection &&other) noexcept
 {
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -25,7 +25,9 @@
 class PeerWatch
 {
 public:
-    explicit PeerWatch(int socket) : m_socket(socket) { }
+    explicit PeerWatch(int socket)
+        : m_socket(socket)
+    {}
 
     bool isGone() const;
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -60,8 +60,9 @@
     if (known != 0)
         return static_cast<int>(known) - 1;
     const int socket = findSocket(info.remote_addr, info.remote_port);
-    mg_set_user_connection_data(connection,
-                                reinterpret_cast<void *>(static_cast<std::intptr_t>(socket) + 1));
+    // NOLINTNEXTLINE(performance-no-int-to-ptr): the user data is a number, never followed.
+    void *const data = reinterpret_cast<void *>(socket + std::intptr_t{1});
+    mg_set_user_connection_data(connection, data);
     return socket;
 }
 
@@ -99,12 +100,12 @@
 void writeResponse(mg_connection *connection, const HttpResponse &response, bool close)
 {
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + " "
-            + mg_get_response_code_text(connection, response.status) + "\r\n";
+                       + mg_get_response_code_text(connection, response.status) + "\r\n";
     text += "Content-Type: " + response.contentType + "\r\n";
     text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
     text += close ? "Connection: close\r\n" : "Connection: keep-alive\r\n";
     for (const auto &[name, value] : response.headers)
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     text += "\r\n" + response.body;
     mg_write(connection, text.data(), text.size());
 }
@@ -140,7 +141,7 @@
 {
     const auto isSame = [name](const auto &header) {
         return header.first.size() == name.size()
-                && strncasecmp(header.first.data(), name.data(), name.size()) == 0;
+               && strncasecmp(header.first.data(), name.data(), name.size()) == 0;
     };
     const auto found = std::find_if(headers.begin(), headers.end(), isSame);
     return found == headers.end() ? nullptr : &found->second;
@@ -188,7 +189,7 @@
     request.query = info.query_string == nullptr ? "" : info.query_string;
     request.headers = headersOf(info);
     const bool hasBody = info.content_length > 0
-            || findHeader(request.headers, "Transfer-Encoding") != nullptr;
+                         || findHeader(request.headers, "Transfer-Encoding") != nullptr;
     Result<std::string> body = std::string();
     if (hasBody)
         body = readBody(connection, info.content_length, self->maxBody);
@@ -221,16 +222,23 @@
     const std::string headerBytes = std::to_string(maxHeaderBytes);
     const std::string keepAlive = std::to_string(keepAliveMilliseconds);
     const std::string requestTimeout = std::to_string(requestMilliseconds);
-    const std::array<const char *, 17> options{
-            "listening_ports",       endpointText.c_str(),
-            "num_threads",           threads.c_str(),
-            "enable_keep_alive",     "yes",
-            "keep_alive_timeout_ms", keepAlive.c_str(),
-            "request_timeout_ms",    requestTimeout.c_str(),
-            "max_request_size",      headerBytes.c_str(),
-            "tcp_nodelay",           "1",
-            "connection_queue",      "128",
-            nullptr};
+    const std::array<const char *, 17> options{"listening_ports",
+                                               endpointText.c_str(),
+                                               "num_threads",
+                                               threads.c_str(),
+                                               "enable_keep_alive",
+                                               "yes",
+                                               "keep_alive_timeout_ms",
+                                               keepAlive.c_str(),
+                                               "request_timeout_ms",
+                                               requestTimeout.c_str(),
+                                               "max_request_size",
+                                               headerBytes.c_str(),
+                                               "tcp_nodelay",
+                                               "1",
+                                               "connection_queue",
+                                               "128",
+                                               nullptr};
     mg_init_library(MG_FEATURES_DEFAULT);
     d->context = mg_start(&d->callbacks, d.get(), const_cast<const char **>(options.data()));
     if (d->context == nullptr)
@@ -239,7 +247,9 @@
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(d)));
 }
 
-HttpServer::HttpServer(std::unique_ptr<Private> d) : m_d(std::move(d)) { }
+HttpServer::HttpServer(std::unique_ptr<Private> d)
+    : m_d(std::move(d))
+{}
 
 HttpServer::~HttpServer()
 {
--- a/src/link/client.cpp
+++ b/src/link/client.cpp
@@ -82,8 +82,7 @@
         , m_id(nextChannel())
         , m_channel(createChannel(m_peer.address))
         , m_stub(wire::PeerDoor::NewStub(m_channel))
-    {
-    }
+    {}
 
     void begin(const PeerRef &self)
     {
@@ -187,8 +186,7 @@
     , m_events(events)
     , m_settings(settings)
     , m_ended(std::make_shared<Ended>())
-{
-}
+{}
 
 LinkClient::~LinkClient()
 {
@@ -213,8 +211,8 @@
 {
     auto found = m_streams.find(peer.instance);
     const bool isOther = found != m_streams.end()
-            && (found->second.peer.incarnation != peer.incarnation
-                || found->second.peer.address != peer.address);
+                         && (found->second.peer.incarnation != peer.incarnation
+                             || found->second.peer.address != peer.address);
     if (isOther) {
         // Its end is reported, and then taken as that of a stream no longer current.
         found->second.stream->abandon();
--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -148,15 +148,10 @@
 {
     if (in.state() > static_cast<std::uint32_t>(MemberState::Left) || in.peer().instance().empty())
         return std::nullopt;
-    return Member{decodePeer(in.peer()),
-                  in.version(),
-                  static_cast<MemberState>(in.state()),
-                  ServiceName{in.service()},
-                  ZoneName{in.zone()},
-                  RegionName{in.region()},
-                  Slots{in.slots()},
-                  in.callers_address(),
-                  in.operator_address()};
+    return Member{
+            decodePeer(in.peer()),     in.version(),         static_cast<MemberState>(in.state()),
+            ServiceName{in.service()}, ZoneName{in.zone()},  RegionName{in.region()},
+            Slots{in.slots()},         in.callers_address(), in.operator_address()};
 }
 
 void encodeKind(const Gossip &gossip, wire::Frame *frame)
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -26,12 +26,10 @@
 };
 
 struct Ping
-{
-};
+{};
 
 struct Pong
-{
-};
+{};
 
 /// One message between nodes.
 using Frame = std::variant<Hello, Run, Answer, Cancel, Gossip, Ping, Pong>;
--- a/src/link/server.cpp
+++ b/src/link/server.cpp
@@ -102,7 +102,7 @@
             finishOnce();
     }
 
-    void OnCancel() override { }
+    void OnCancel() override {}
 
     void OnDone() override
     {
@@ -143,7 +143,10 @@
 class PeerDoor : public wire::PeerDoor::CallbackService
 {
 public:
-    PeerDoor(PeerRef self, ServerEvents *events) : m_self(std::move(self)), m_events(events) { }
+    PeerDoor(PeerRef self, ServerEvents *events)
+        : m_self(std::move(self))
+        , m_events(events)
+    {}
 
     grpc::ServerBidiReactor<wire::Batch, wire::Batch> *
     Link(grpc::CallbackServerContext *) override // NOLINT(readability-identifier-naming)
@@ -165,7 +168,9 @@
 
 struct LinkServer::Private
 {
-    Private(const PeerRef &self, ServerEvents *events) : door(self, events) { }
+    Private(const PeerRef &self, ServerEvents *events)
+        : door(self, events)
+    {}
 
     PeerDoor door;
     std::unique_ptr<grpc::Server> server;
@@ -186,7 +191,9 @@
     return std::unique_ptr<LinkServer>(new LinkServer(std::move(d)));
 }
 
-LinkServer::LinkServer(std::unique_ptr<Private> d) : m_d(std::move(d)) { }
+LinkServer::LinkServer(std::unique_ptr<Private> d)
+    : m_d(std::move(d))
+{}
 
 LinkServer::~LinkServer()
 {
--- /dev/null
+++ b/src/link/tests/test_link.cpp
@@ -0,0 +1,77 @@
+#define BOOST_TEST_MODULE link
+#include "link/link.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace buckthornford;
+
+namespace {
+
+Run fullRun()
+{
+    Run run;
+    run.request = RequestId{7};
+    run.attempt = AttemptNumber{2};
+    run.work = {ServiceName{"s"},
+                OperationName{"o"},
+                "POST",
+                "q=1",
+                ClassName{"c"},
+                CallerName{"p"},
+                false,
+                "key",
+                "t/x",
+                std::string("\0b", 2)};
+    run.timeLeft = Duration{1234};
+    run.age = Duration{5};
+    run.budget = Tokens{3};
+    run.depth = Depth{4};
+    run.revision = Revision{9};
+    run.trace = {1, 2, 3, true};
+    run.alternate = PeerRef{InstanceId{"x"}, Incarnation{8}, "1.2.3.4:5"};
+    return run;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(framesRoundTrip)
+{
+    Answer answer;
+    answer.request = RequestId{5};
+    answer.outcome = Outcome::Unknown;
+    answer.reason = Error::AnswerLost;
+    answer.body = "body";
+    answer.load = {1, 2, 3};
+    Gossip gossip;
+    gossip.members = {Member{}};
+    gossip.members[0].peer.instance = InstanceId{"m"};
+    gossip.members[0].state = MemberState::Leaving;
+    gossip.bucketHashes = {1, 2};
+    gossip.configuration = "{}";
+    const std::string bytes = encodeBatch({fullRun(), answer, Cancel{RequestId{1}, {}}, gossip,
+                                           Ping{}, Pong{}, Hello{{InstanceId{"h"}, {}, ""}}});
+    const auto frames = decodeBatch(bytes);
+    BOOST_REQUIRE(frames.value().size() == 7);
+    BOOST_TEST(encodeBatch(frames.value()) == bytes);
+    const Run &run = std::get<Run>(frames.value()[0]);
+    BOOST_TEST(run.work.body == fullRun().work.body);
+    BOOST_TEST((run.alternate == fullRun().alternate));
+}
+
+BOOST_AUTO_TEST_CASE(damagedBytesNeverPassAsAnotherBody)
+{
+    BOOST_TEST(rc::check("a run decodes with the body that was sent, or not at all", [] {
+        std::string bytes = encodeBatch({fullRun()});
+        const auto position = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        bytes[position] = static_cast<char>(*rc::gen::inRange(0, 256));
+        bytes.resize(bytes.size() - *rc::gen::inRange<std::size_t>(0, 3));
+        const auto frames = decodeBatch(bytes);
+        if (!frames)
+            return;
+        for (const Frame &frame : frames.value()) {
+            if (const auto *run = std::get_if<Run>(&frame))
+                RC_ASSERT(run->work.body == fullRun().work.body || run->work.body.empty());
+        }
+    }));
+}
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -192,9 +192,9 @@
 {
     std::vector<std::uint64_t> hashes(bucketCount, 0);
     const auto add = [&hashes](const Member &member) {
-        const std::string text = member.peer.instance.value() + '/'
-                + toHex(member.peer.incarnation.value()) + '/' + std::to_string(member.version)
-                + '/' + std::to_string(severity(member.state));
+        const std::string text
+                = member.peer.instance.value() + '/' + toHex(member.peer.incarnation.value()) + '/'
+                  + std::to_string(member.version) + '/' + std::to_string(severity(member.state));
         hashes[bucketOf(member.peer.instance)] ^= checksum(text);
     };
     add(m_self);
@@ -203,8 +203,7 @@
     return hashes;
 }
 
-std::vector<Member>
-Membership::membersInDiffering(const std::vector<std::uint64_t> &theirs) const
+std::vector<Member> Membership::membersInDiffering(const std::vector<std::uint64_t> &theirs) const
 {
     std::vector<Member> found;
     const std::vector<std::uint64_t> ours = bucketHashes();
@@ -258,8 +257,7 @@
         news->push_back(member);
     }
     m_changes += std::erase_if(m_others, [&](const auto &other) {
-        return !other.second.member.isLive()
-                && now - other.second.since >= m_settings.tombstone;
+        return !other.second.member.isLive() && now - other.second.since >= m_settings.tombstone;
     });
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -20,8 +20,8 @@
     Serving,
     Leaving, ///< finishes what it has, takes nothing new
     Suspect, ///< said by others: it doesn't answer
-    Dead, ///< said by others: it didn't answer for long
-    Left, ///< said by itself before it stopped
+    Dead,    ///< said by others: it didn't answer for long
+    Left,    ///< said by itself before it stopped
 };
 
 std::string_view memberStateName(MemberState state);
@@ -52,9 +52,9 @@
 {
     std::vector<Member> members;
     std::vector<std::uint64_t> bucketHashes; ///< of the sender's whole table; empty if not told
-    bool wantsHashes = false; ///< answer with your bucket hashes too
-    Revision revision; ///< newest configuration that the sender has
-    std::string configuration; ///< JSON text; empty if not sent
+    bool wantsHashes = false;                ///< answer with your bucket hashes too
+    Revision revision;                       ///< newest configuration that the sender has
+    std::string configuration;               ///< JSON text; empty if not sent
 };
 
 /// The table of members and the decisions on whom to tell what. No socket, no clock.
@@ -63,10 +63,10 @@
 public:
     struct Settings
     {
-        Duration suspicion{std::chrono::seconds(1)}; ///< from suspect to dead
+        Duration suspicion{std::chrono::seconds(1)};  ///< from suspect to dead
         Duration tombstone{std::chrono::minutes(60)}; ///< how long the dead are remembered
-        Duration exchange{std::chrono::seconds(1)}; ///< between comparisons of tables
-        Duration rejoin{std::chrono::seconds(3)}; ///< between tries to reach the dead and seeds
+        Duration exchange{std::chrono::seconds(1)};   ///< between comparisons of tables
+        Duration rejoin{std::chrono::seconds(3)};     ///< between tries to reach the dead and seeds
         std::uint64_t seed = 1;
     };
 
--- a/src/node/call_door.cpp
+++ b/src/node/call_door.cpp
@@ -25,8 +25,8 @@
     bool isIdempotent; ///< RFC 9110, section 9.2.2
 };
 
-constexpr std::array methods{MethodRow{"GET", true}, MethodRow{"HEAD", true},
-                             MethodRow{"PUT", true}, MethodRow{"DELETE", true},
+constexpr std::array methods{MethodRow{"GET", true},   MethodRow{"HEAD", true},
+                             MethodRow{"PUT", true},   MethodRow{"DELETE", true},
                              MethodRow{"POST", false}, MethodRow{"PATCH", false}};
 
 /// What was wrong with a request, or the request as the entry takes it.
@@ -35,8 +35,8 @@
     Error error = Error::None;
     std::string field;
 };
-using ParseResult = boost::outcome_v2::basic_result<CallRequest, Fault,
-                                                    boost::outcome_v2::policy::terminate>;
+using ParseResult
+        = boost::outcome_v2::basic_result<CallRequest, Fault, boost::outcome_v2::policy::terminate>;
 
 RequestId nextRequest()
 {
@@ -216,7 +216,8 @@
     const Result<Endpoint> address = parseEndpoint(text("address"));
     const auto slots = root.find("slots");
     const bool hasSlots = slots != root.end() && slots->is_number_unsigned()
-            && slots->get<std::uint64_t>() >= 1 && slots->get<std::uint64_t>() <= 100'000;
+                          && slots->get<std::uint64_t>() >= 1
+                          && slots->get<std::uint64_t>() <= 100'000;
     if (!name(announcement.service.value()))
         *field = "service";
     else if (!address)
@@ -288,7 +289,8 @@
     HttpResponse response;
     response.body = nlohmann::json{{"keys", result->value()},
                                    {"lifeMs", m_keyLife / std::chrono::milliseconds(1)}}
-                            .dump() + "\n";
+                            .dump()
+                    + "\n";
     return response;
 }
 
--- a/src/node/doors_p.h
+++ b/src/node/doors_p.h
@@ -27,8 +27,7 @@
         : m_tasks(tasks)
         , m_kind(kind)
         , m_keyLife(keyLife)
-    {
-    }
+    {}
 
     HttpResponse handle(const HttpRequest &request);
 
@@ -48,7 +47,9 @@
 class OperatorDoor
 {
 public:
-    explicit OperatorDoor(DoorTasks tasks) : m_tasks(tasks) { }
+    explicit OperatorDoor(DoorTasks tasks)
+        : m_tasks(tasks)
+    {}
 
     HttpResponse handle(const HttpRequest &request);
 
--- a/src/node/membership_task.cpp
+++ b/src/node/membership_task.cpp
@@ -30,8 +30,7 @@
     , m_membership(std::move(self), std::move(seeds), membershipSettings(seed))
     , m_link(m_self, this, linkSettings())
     , m_listeners(std::move(listeners))
-{
-}
+{}
 
 MembershipTask::~MembershipTask()
 {
@@ -50,7 +49,8 @@
 
 void MembershipTask::handle(MembershipMessage &&message, TimePoint now)
 {
-    std::visit([this, now](auto &&kind) { on(std::move(kind), now); }, std::move(message));
+    std::visit([this, now](auto &&kind) { on(std::forward<decltype(kind)>(kind), now); },
+               std::move(message));
 }
 
 TimePoint MembershipTask::tick(TimePoint now)
--- a/src/node/messages_p.h
+++ b/src/node/messages_p.h
@@ -114,10 +114,10 @@
     std::shared_ptr<ReplySlot<std::string>> reply;
 };
 
-using NodeMessage =
-        std::variant<CallBegun, CallerLeft, KeysWanted, ChannelOpened, ChannelFrame, ChannelClosed,
-                     PeerFrame, PeerEnded, UpstreamEnded, UpstreamAnnounced, ViewChanged,
-                     ConfigurationArrived, DrainWanted, Question>;
+using NodeMessage
+        = std::variant<CallBegun, CallerLeft, KeysWanted, ChannelOpened, ChannelFrame,
+                       ChannelClosed, PeerFrame, PeerEnded, UpstreamEnded, UpstreamAnnounced,
+                       ViewChanged, ConfigurationArrived, DrainWanted, Question>;
 
 // Messages to the membership task; it gets the Channel and Peer messages too.
 
@@ -133,9 +133,8 @@
     std::shared_ptr<ReplySlot<std::vector<Member>>> reply;
 };
 
-using MembershipMessage =
-        std::variant<ChannelOpened, ChannelFrame, ChannelClosed, PeerFrame, PeerEnded, SelfChanged,
-                     ConfigurationArrived, MembersWanted>;
+using MembershipMessage = std::variant<ChannelOpened, ChannelFrame, ChannelClosed, PeerFrame,
+                                       PeerEnded, SelfChanged, ConfigurationArrived, MembersWanted>;
 
 // Messages to the platform task.
 
@@ -149,7 +148,7 @@
 {
     Error error = Error::None;
     Revision revision; ///< of the change itself, or of the one that won
-    ChangeId winner; ///< with Error::Conflict
+    ChangeId winner;   ///< with Error::Conflict
 };
 
 struct ChangeWanted
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -21,8 +21,7 @@
     ServerDispatch(NodeTask *node, MembershipTask *membership)
         : m_node(node)
         , m_membership(membership)
-    {
-    }
+    {}
 
     void onOpened(ChannelId channel, std::shared_ptr<FrameSink> sink) override
     {
@@ -32,8 +31,8 @@
 
     void onFrame(ChannelId channel, Frame frame) override
     {
-        const bool isWork =
-                std::holds_alternative<Run>(frame) || std::holds_alternative<Cancel>(frame);
+        const bool isWork
+                = std::holds_alternative<Run>(frame) || std::holds_alternative<Cancel>(frame);
         if (isWork)
             m_node->post(ChannelFrame{channel, std::move(frame)});
         else
@@ -54,8 +53,8 @@
 Member selfMember(const NodeSettings &settings)
 {
     Member self;
-    const std::string address =
-            settings.peerAddress.empty() ? settings.peers.toString() : settings.peerAddress;
+    const std::string address
+            = settings.peerAddress.empty() ? settings.peers.toString() : settings.peerAddress;
     self.peer = {settings.instance,
                  Incarnation{static_cast<std::uint64_t>(steadyWallNow().value())}, address};
     self.zone = settings.zone;
@@ -90,8 +89,7 @@
         , callersDoor({&node, &membership, &platform}, CallDoor::Kind::Callers, settings.keyLife)
         , upstreamDoor({&node, &membership, &platform}, CallDoor::Kind::Upstream, settings.keyLife)
         , operatorDoor({&node, &membership, &platform})
-    {
-    }
+    {}
 
     Result<void> openDoors();
     Result<std::unique_ptr<HttpServer>> openDoor(const Endpoint &endpoint, int threads,
@@ -120,8 +118,8 @@
     serverSettings.endpoint = endpoint;
     serverSettings.threads = threads;
     serverSettings.maxBody = settings.maxBody;
-    Result<std::unique_ptr<HttpServer>> server =
-            HttpServer::listen(serverSettings, std::move(handler));
+    Result<std::unique_ptr<HttpServer>> server
+            = HttpServer::listen(serverSettings, std::move(handler));
     if (!server)
         logEvent(LogLevel::Error, "bind-failed", {{"endpoint", endpoint.toString()}});
     return server;
@@ -135,21 +133,21 @@
         return peersResult.error();
     }
     peers = std::move(peersResult.value());
-    auto callersResult =
-            openDoor(settings.callers, settings.callerThreads,
-                     [this](const HttpRequest &request) { return callersDoor.handle(request); });
+    auto callersResult
+            = openDoor(settings.callers, settings.callerThreads,
+                       [this](const HttpRequest &request) { return callersDoor.handle(request); });
     if (!callersResult)
         return callersResult.error();
     callers = std::move(callersResult.value());
-    auto upstreamResult =
-            openDoor(settings.upstream, settings.upstreamThreads,
-                     [this](const HttpRequest &request) { return upstreamDoor.handle(request); });
+    auto upstreamResult
+            = openDoor(settings.upstream, settings.upstreamThreads,
+                       [this](const HttpRequest &request) { return upstreamDoor.handle(request); });
     if (!upstreamResult)
         return upstreamResult.error();
     upstream = std::move(upstreamResult.value());
-    auto operatorsResult =
-            openDoor(settings.operators, operatorThreads,
-                     [this](const HttpRequest &request) { return operatorDoor.handle(request); });
+    auto operatorsResult
+            = openDoor(settings.operators, operatorThreads,
+                       [this](const HttpRequest &request) { return operatorDoor.handle(request); });
     if (!operatorsResult)
         return operatorsResult.error();
     operators = std::move(operatorsResult.value());
@@ -177,7 +175,9 @@
     return node;
 }
 
-Node::Node(std::unique_ptr<Private> d) : m_d(std::move(d)) { }
+Node::Node(std::unique_ptr<Private> d)
+    : m_d(std::move(d))
+{}
 
 Node::~Node()
 {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,20 +17,20 @@
     InstanceId instance;
     ZoneName zone;
     RegionName region;
-    Endpoint callers; ///< callers' door
-    Endpoint upstream; ///< door for this node's upstream, on loopback
-    Endpoint operators; ///< operator and metrics door
-    Endpoint peers; ///< other nodes' door
-    std::string peerAddress; ///< how others reach the peer door, if not as it listens
-    std::vector<std::string> seeds; ///< peer doors of a few other nodes
-    std::string platform; ///< IP:PORT of the table service; empty for none
+    Endpoint callers;                     ///< callers' door
+    Endpoint upstream;                    ///< door for this node's upstream, on loopback
+    Endpoint operators;                   ///< operator and metrics door
+    Endpoint peers;                       ///< other nodes' door
+    std::string peerAddress;              ///< how others reach the peer door, if not as it listens
+    std::vector<std::string> seeds;       ///< peer doors of a few other nodes
+    std::string platform;                 ///< IP:PORT of the table service; empty for none
     std::string policy = "buckthornford"; ///< a row of the policy table
     int callerThreads = 64;
     int upstreamThreads = 64;
     Bytes maxBody{1U << 20U};
     Duration keyLife{std::chrono::seconds(30)};
     Duration spread{std::chrono::milliseconds(1500)}; ///< for news to be everywhere
-    double sampledShare = 0.01; ///< of traces
+    double sampledShare = 0.01;                       ///< of traces
     std::uint64_t seed = 1;
 };
 
--- a/src/node/node_task.cpp
+++ b/src/node/node_task.cpp
@@ -68,7 +68,8 @@
 
 void NodeTask::handle(NodeMessage &&message, TimePoint now)
 {
-    std::visit([this, now](auto &&kind) { on(std::move(kind), now); }, std::move(message));
+    std::visit([this, now](auto &&kind) { on(std::forward<decltype(kind)>(kind), now); },
+               std::move(message));
 }
 
 TimePoint NodeTask::tick(TimePoint now)
@@ -89,8 +90,7 @@
 void NodeTask::on(CallBegun &&message, TimePoint now)
 {
     m_replies[message.id] = std::move(message.reply);
-    carryOut(m_entry.begin(message.id, std::move(message.request), m_history, now,
-                           steadyWallNow()),
+    carryOut(m_entry.begin(message.id, std::move(message.request), m_history, now, steadyWallNow()),
              now);
 }
 
@@ -212,16 +212,17 @@
 void NodeTask::on(Question &&message, TimePoint)
 {
     using TextFunction = std::string (NodeTask::*)() const;
-    static constexpr std::array<TextFunction, 4> texts{
-            &NodeTask::statusText, &NodeTask::metricsText, &NodeTask::spansText,
-            &NodeTask::configurationText};
+    static constexpr std::array<TextFunction, 4> texts{&NodeTask::statusText,
+                                                       &NodeTask::metricsText, &NodeTask::spansText,
+                                                       &NodeTask::configurationText};
     message.reply->post((this->*texts[static_cast<std::size_t>(message.about)])());
 }
 
 void NodeTask::carryOut(EntryActions &&actions, TimePoint now)
 {
     for (EntryAction &action : actions)
-        std::visit([this, now](auto &&kind) { carryOut(std::move(kind), now); }, std::move(action));
+        std::visit([this, now](auto &&kind) { carryOut(std::forward<decltype(kind)>(kind), now); },
+                   std::move(action));
 }
 
 void NodeTask::carryOut(SendRun &&action, TimePoint now)
@@ -256,7 +257,8 @@
 void NodeTask::carryOut(GateActions &&actions, TimePoint now)
 {
     for (GateAction &action : actions)
-        std::visit([this, now](auto &&kind) { carryOut(std::move(kind), now); }, std::move(action));
+        std::visit([this, now](auto &&kind) { carryOut(std::forward<decltype(kind)>(kind), now); },
+                   std::move(action));
 }
 
 void NodeTask::carryOut(StartExecution &&action, TimePoint now)
@@ -343,7 +345,7 @@
         news.service = m_told->service;
     }
     const bool isSame = m_told && m_told->state == news.state && m_told->slots == news.slots
-            && m_told->service == news.service;
+                        && m_told->service == news.service;
     if (isSame)
         return;
     m_told = news;
@@ -360,7 +362,7 @@
 bool NodeTask::isDrained(TimePoint now) const
 {
     return m_drainStart && now - *m_drainStart >= m_settings.spread && m_gate.isDraining()
-            && m_gate.isIdle() && m_entry.openCalls() == 0;
+           && m_gate.isIdle() && m_entry.openCalls() == 0;
 }
 
 } // namespace buckthornford
--- a/src/node/platform_task.cpp
+++ b/src/node/platform_task.cpp
@@ -38,7 +38,8 @@
 
 void PlatformTask::handle(PlatformMessage &&message, TimePoint now)
 {
-    std::visit([this, now](auto &&kind) { on(std::move(kind), now); }, std::move(message));
+    std::visit([this, now](auto &&kind) { on(std::forward<decltype(kind)>(kind), now); },
+               std::move(message));
 }
 
 TimePoint PlatformTask::tick(TimePoint now)
@@ -106,8 +107,8 @@
     if (earlier.value())
         return *earlier.value();
     const auto &before = stored.value().configuration;
-    const Result<Configuration> after =
-            applyChange(before ? &*before : nullptr, change, steadyWallNow(), m_spread);
+    const Result<Configuration> after
+            = applyChange(before ? &*before : nullptr, change, steadyWallNow(), m_spread);
     if (!after) {
         ChangeOutcome refused;
         refused.error = errorOf(after.error());
@@ -118,11 +119,10 @@
         return refused;
     }
     TableTransaction transaction;
-    transaction.conditions = {{configurationKey, stored.value().version},
-                              {changeKey(change.id), 0}};
-    transaction.writes = {
-            {configurationKey, toJsonText(after.value())},
-            {changeKey(change.id), std::to_string(after.value().revision.value())}};
+    transaction.conditions
+            = {{configurationKey, stored.value().version}, {changeKey(change.id), 0}};
+    transaction.writes = {{configurationKey, toJsonText(after.value())},
+                          {changeKey(change.id), std::to_string(after.value().revision.value())}};
     const Result<void> committed = m_table->commit(transaction);
     if (!committed)
         return committed.error();
--- a/src/node/upstream_pool_p.h
+++ b/src/node/upstream_pool_p.h
@@ -26,7 +26,9 @@
 public:
     using Report = std::function<void(UpstreamWorker *worker, UpstreamResult result)>;
 
-    explicit UpstreamWorker(Report report) : m_report(std::move(report)) { }
+    explicit UpstreamWorker(Report report)
+        : m_report(std::move(report))
+    {}
     ~UpstreamWorker() override { stop(); }
 
 protected:
@@ -47,7 +49,9 @@
 class UpstreamPool
 {
 public:
-    explicit UpstreamPool(UpstreamWorker::Report report) : m_report(std::move(report)) { }
+    explicit UpstreamPool(UpstreamWorker::Report report)
+        : m_report(std::move(report))
+    {}
 
     void start(UpstreamJob job);
 
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -42,7 +42,9 @@
 class TableClient
 {
 public:
-    explicit TableClient(Endpoint endpoint) : m_endpoint(std::move(endpoint)) { }
+    explicit TableClient(Endpoint endpoint)
+        : m_endpoint(std::move(endpoint))
+    {}
 
     /// Error::PlatformUnavailable, Error::PlatformBusy or Error::Timeout.
     Result<TableRow> read(const std::string &key);
--- a/src/preset/document_json.cpp
+++ b/src/preset/document_json.cpp
@@ -113,7 +113,8 @@
     std::optional<DocumentFault> *m_fault;
 };
 
-ClassRule readClass(const json &object, const std::string &path, std::optional<DocumentFault> *fault)
+ClassRule readClass(const json &object, const std::string &path,
+                    std::optional<DocumentFault> *fault)
 {
     Reader reader(object, path, fault);
     reader.allowOnly({"name", "rank", "retries", "timeoutMs"});
@@ -121,8 +122,8 @@
     rule.name = ClassName{reader.text("name")};
     rule.rank = Rank{static_cast<std::uint32_t>(reader.wholeNumber("rank", 0, maxRank))};
     rule.retries = Tokens{static_cast<std::uint32_t>(reader.wholeNumber("retries", 0, maxRetries))};
-    rule.timeout =
-            std::chrono::milliseconds(reader.wholeNumber("timeoutMs", 1, maxTimeoutMilliseconds));
+    rule.timeout
+            = std::chrono::milliseconds(reader.wholeNumber("timeoutMs", 1, maxTimeoutMilliseconds));
     return rule;
 }
 
@@ -145,8 +146,8 @@
     if (names == nullptr)
         return ruling;
     const bool isList = names->is_array() && !names->empty()
-            && std::all_of(names->begin(), names->end(),
-                           [](const json &name) { return name.is_string(); });
+                        && std::all_of(names->begin(), names->end(),
+                                       [](const json &name) { return name.is_string(); });
     if (isList)
         ruling.names = names->get<std::vector<std::string>>();
     else
--- a/src/preset/preset.cpp
+++ b/src/preset/preset.cpp
@@ -11,8 +11,9 @@
 
 const ClassRule *Preset::findClass(const ClassName &wanted) const
 {
-    const auto found = std::find_if(classes.begin(), classes.end(),
-                                    [&wanted](const ClassRule &rule) { return rule.name == wanted; });
+    const auto found
+            = std::find_if(classes.begin(), classes.end(),
+                           [&wanted](const ClassRule &rule) { return rule.name == wanted; });
     return found == classes.end() ? nullptr : &*found;
 }
 
--- a/src/preset/preset.h
+++ b/src/preset/preset.h
@@ -17,8 +17,8 @@
 struct ClassRule
 {
     ClassName name;
-    Rank rank; ///< 0 is shed last
-    Tokens retries; ///< for the whole call chain of one request
+    Rank rank;           ///< 0 is shed last
+    Tokens retries;      ///< for the whole call chain of one request
     Duration timeout{0}; ///< where the request names none
 };
 
@@ -39,8 +39,8 @@
     PresetName name;
     std::vector<ClassRule> classes;
     Ruling ruling;
-    double shortShare = 0.3; ///< share of slots that long work leaves to short work
-    double spillShare = 0.1; ///< share of requests that may leave the region
+    double shortShare = 0.3;  ///< share of slots that long work leaves to short work
+    double spillShare = 0.1;  ///< share of requests that may leave the region
     double hedgeShare = 0.02; ///< share of idempotent requests that may be hedged
 
     /// Returns the rule of \a name or nullptr.
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -15,7 +15,9 @@
 {
 public:
     ChainBudget() = default;
-    explicit ChainBudget(Tokens tokens) : m_tokens(tokens.value()) { }
+    explicit ChainBudget(Tokens tokens)
+        : m_tokens(tokens.value())
+    {}
 
     Tokens tokens() const { return Tokens{m_tokens}; }
 
@@ -41,11 +43,13 @@
 public:
     struct Settings
     {
-        double ratio = 0.1; ///< retries earned by one request
+        double ratio = 0.1;  ///< retries earned by one request
         double burst = 20.0; ///< retries that a caller may save up
     };
 
-    explicit RetryRatio(Settings settings) : m_settings(settings) { }
+    explicit RetryRatio(Settings settings)
+        : m_settings(settings)
+    {}
 
     void recordRequest(const CallerName &caller);
 
@@ -65,8 +69,8 @@
 enum class RetryChoice {
     Stop,
     RetryAnother, ///< send to another target, with a new key if the work had one of ours
-    RetrySame, ///< send the same key to the same target, whose record tells runs apart
-    FollowKey, ///< go where the key has moved
+    RetrySame,    ///< send the same key to the same target, whose record tells runs apart
+    FollowKey,    ///< go where the key has moved
 };
 
 /// The facts of an ended attempt.
@@ -76,7 +80,7 @@
     Error reason = Error::None;
     bool retryable = false;
     bool idempotent = false;
-    bool ownKey = false; ///< the key was made by this entry node, not by the caller
+    bool ownKey = false;        ///< the key was made by this entry node, not by the caller
     bool sameHomeLives = false; ///< the target's incarnation is still a member
 };
 
--- a/src/routing/round_robin.cpp
+++ b/src/routing/round_robin.cpp
@@ -38,22 +38,22 @@
 
 namespace {
 
-using CreateFunction = std::unique_ptr<Router> (*)(Place place, std::uint64_t seed);
+using CreateFunction = std::unique_ptr<Router> (*)(const Place &place, std::uint64_t seed);
 
 /// In the order of RouterKind.
 constexpr std::array<CreateFunction, 2> createFunctions{
-        [](Place, std::uint64_t) -> std::unique_ptr<Router> {
+        [](const Place &, std::uint64_t) -> std::unique_ptr<Router> {
             return std::make_unique<RoundRobinRouter>();
         },
-        [](Place place, std::uint64_t seed) -> std::unique_ptr<Router> {
-            return std::make_unique<TwoChoicesRouter>(std::move(place), seed);
+        [](const Place &place, std::uint64_t seed) -> std::unique_ptr<Router> {
+            return std::make_unique<TwoChoicesRouter>(place, seed);
         }};
 
 } // namespace
 
-std::unique_ptr<Router> createRouter(RouterKind kind, Place place, std::uint64_t seed)
+std::unique_ptr<Router> createRouter(RouterKind kind, const Place &place, std::uint64_t seed)
 {
-    return createFunctions[static_cast<std::size_t>(kind)](std::move(place), seed);
+    return createFunctions[static_cast<std::size_t>(kind)](place, seed);
 }
 
 } // namespace buckthornford
--- a/src/routing/round_robin_p.h
+++ b/src/routing/round_robin_p.h
@@ -10,10 +10,10 @@
 public:
     void setTargets(const std::vector<Target> &targets, TimePoint now) override;
     Result<Pick> pick(const PickRequest &request, TimePoint now) override;
-    void onSent(const InstanceId &, TimePoint) override { }
-    void onEnd(const InstanceId &, const OperationName &, Duration, bool, TimePoint) override { }
-    void onReport(const InstanceId &, const LoadReport &, TimePoint) override { }
-    void onUnreachable(const InstanceId &, TimePoint) override { }
+    void onSent(const InstanceId &, TimePoint) override {}
+    void onEnd(const InstanceId &, const OperationName &, Duration, bool, TimePoint) override {}
+    void onReport(const InstanceId &, const LoadReport &, TimePoint) override {}
+    void onUnreachable(const InstanceId &, TimePoint) override {}
     bool knowsService(const ServiceName &service) const override;
     Duration slowLatency(const ServiceName &, const OperationName &) const override
     {
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -49,7 +49,7 @@
     OperationName operation;
     Rank rank;
     std::vector<InstanceId> exclude; ///< tried already
-    double spillShare = 0.0; ///< of requests that may leave the region
+    double spillShare = 0.0;         ///< of requests that may leave the region
 };
 
 /// Chooses targets. Own measurements come first; reports of others age and only ever make a
@@ -70,7 +70,8 @@
 
     /// An attempt ended after \a latency; \a answered is false for losses and refusals.
     virtual void onEnd(const InstanceId &target, const OperationName &operation, Duration latency,
-                       bool answered, TimePoint now) = 0;
+                       bool answered, TimePoint now)
+            = 0;
     virtual void onReport(const InstanceId &target, const LoadReport &report, TimePoint now) = 0;
 
     /// The target can't be reached; it is left out for a while.
@@ -86,6 +87,6 @@
 enum class RouterKind { RoundRobin, TwoChoices };
 
 /// Creates a router; \a seed makes its random choices repeatable.
-std::unique_ptr<Router> createRouter(RouterKind kind, Place place, std::uint64_t seed);
+std::unique_ptr<Router> createRouter(RouterKind kind, const Place &place, std::uint64_t seed);
 
 } // namespace buckthornford
--- a/src/routing/two_choices.cpp
+++ b/src/routing/two_choices.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t subsetSize = 16; ///< targets of a service that one node uses, per reach
-constexpr double stretchWeight = 0.3; ///< of a new sample
+constexpr double stretchWeight = 0.3;  ///< of a new sample
 constexpr double maxStretch = 50.0;
 constexpr double recoverySeconds = 2.0; ///< time constant with which an unused target recovers
 constexpr Duration reportLife = std::chrono::seconds(1);
@@ -47,8 +47,7 @@
 TwoChoicesRouter::TwoChoicesRouter(Place place, std::uint64_t seed)
     : m_place(std::move(place))
     , m_random(seed)
-{
-}
+{}
 
 void TwoChoicesRouter::setTargets(const std::vector<Target> &targets, TimePoint)
 {
@@ -92,9 +91,10 @@
     return m_services.contains(service);
 }
 
-std::vector<TwoChoicesRouter::State *>
-TwoChoicesRouter::candidates(const Service &service, Reach reach, const PickRequest &request,
-                             TimePoint now)
+std::vector<TwoChoicesRouter::State *> TwoChoicesRouter::candidates(const Service &service,
+                                                                    Reach reach,
+                                                                    const PickRequest &request,
+                                                                    TimePoint now)
 {
     std::vector<State *> found;
     const auto ids = service.subset.find(reach);
@@ -103,7 +103,7 @@
     for (const InstanceId &id : ids->second) {
         State &state = m_states.at(id);
         const bool isExcluded = std::find(request.exclude.begin(), request.exclude.end(), id)
-                != request.exclude.end();
+                                != request.exclude.end();
         if (!isExcluded && state.unreachableUntil <= now)
             found.push_back(&state);
     }
@@ -114,8 +114,8 @@
 double TwoChoicesRouter::stretchNow(const State &state, const Service &service,
                                     const OperationName &operation, TimePoint now) const
 {
-    const double idle =
-            static_cast<double>((now - state.stretchTime).count()) / microsecondsPerSecond;
+    const double idle
+            = static_cast<double>((now - state.stretchTime).count()) / microsecondsPerSecond;
     const double remembered = 1.0 + (state.stretch - 1.0) * std::exp(-idle / recoverySeconds);
     const auto latency = service.latencies.find(operation);
     if (state.inFlight.empty() || latency == service.latencies.end())
@@ -154,7 +154,7 @@
 bool TwoChoicesRouter::isOverloaded(const State &state, TimePoint now) const
 {
     return now - state.reportTime < reportLife && state.report.queued >= state.report.limit
-            && state.report.queued > 0;
+           && state.report.queued > 0;
 }
 
 bool TwoChoicesRouter::maySpill(Service *service, const PickRequest &request)
@@ -235,8 +235,7 @@
     if (found == m_states.end())
         return;
     State &state = found->second;
-    state.unreachableSpan =
-            std::clamp(2 * state.unreachableSpan, minUnreachable, maxUnreachable);
+    state.unreachableSpan = std::clamp(2 * state.unreachableSpan, minUnreachable, maxUnreachable);
     state.unreachableUntil = now + state.unreachableSpan;
 }
 
--- a/src/routing/two_choices_p.h
+++ b/src/routing/two_choices_p.h
@@ -33,8 +33,7 @@
     void onReport(const InstanceId &target, const LoadReport &report, TimePoint now) override;
     void onUnreachable(const InstanceId &target, TimePoint now) override;
     bool knowsService(const ServiceName &service) const override;
-    Duration slowLatency(const ServiceName &service,
-                         const OperationName &operation) const override;
+    Duration slowLatency(const ServiceName &service, const OperationName &operation) const override;
 
 private:
     struct State
@@ -42,7 +41,7 @@
         Target target;
         Reach reach = Reach::World;
         std::multiset<TimePoint> inFlight; ///< when each attempt was sent
-        double stretch = 1.0; ///< own latency over the operation's mean
+        double stretch = 1.0;              ///< own latency over the operation's mean
         TimePoint stretchTime;
         LoadReport report;
         TimePoint reportTime;
@@ -57,8 +56,8 @@
     };
 
     void rebuildSubsets();
-    std::vector<State *> candidates(const Service &service, Reach reach,
-                                    const PickRequest &request, TimePoint now);
+    std::vector<State *> candidates(const Service &service, Reach reach, const PickRequest &request,
+                                    TimePoint now);
     State *choose(const std::vector<State *> &candidates, const Service &service,
                   const OperationName &operation, TimePoint now);
     double score(const State &state, const Service &service, const OperationName &operation,
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -53,8 +53,7 @@
         const auto rule = std::find_if(rules.begin(), rules.end(), [&flag](const auto &candidate) {
             return candidate.flag == flag.name;
         });
-        const std::string allowed =
-                rule == rules.end() ? "" : "; " + std::string(rule->allowed);
+        const std::string allowed = rule == rules.end() ? "" : "; " + std::string(rule->allowed);
         std::printf("  --%s  %s (default \"%s\"%s)\n", flag.name.c_str(), flag.description.c_str(),
                     flag.default_value.c_str(), allowed.c_str());
     }
@@ -72,7 +71,7 @@
     if (!gflags::SetCommandLineOption(flag.c_str(), value.c_str()).empty())
         return std::nullopt;
     return "--" + flag + std::string(source) + ": value \"" + value + "\" is not a valid "
-            + info.type;
+           + info.type;
 }
 
 std::optional<std::string> readEnvironment()
@@ -95,7 +94,7 @@
         gflags::GetCommandLineOption(std::string(rule.flag).c_str(), &value);
         if (!rule.check(value)) {
             return "--" + std::string(rule.flag) + ": value \"" + value + "\" is not allowed; use "
-                    + std::string(rule.allowed);
+                   + std::string(rule.allowed);
         }
     }
     return std::nullopt;
@@ -195,7 +194,7 @@
         return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.';
     };
     return !text.empty() && text.size() <= maxNameLength
-            && std::all_of(text.begin(), text.end(), isNameCharacter);
+           && std::all_of(text.begin(), text.end(), isNameCharacter);
 }
 
 Result<Endpoint> parseEndpoint(std::string_view text)
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -12,10 +12,10 @@
 constexpr double highestMicroseconds = 1e8;
 
 /// Upper limits of the buckets in the exposition format.
-constexpr std::array exposedLimits{
-        Duration{500},     Duration{1'000},   Duration{2'500},     Duration{5'000},
-        Duration{10'000},  Duration{25'000},  Duration{50'000},    Duration{100'000},
-        Duration{250'000}, Duration{500'000}, Duration{1'000'000}, Duration{5'000'000}};
+constexpr std::array exposedLimits{Duration{500},     Duration{1'000},     Duration{2'500},
+                                   Duration{5'000},   Duration{10'000},    Duration{25'000},
+                                   Duration{50'000},  Duration{100'000},   Duration{250'000},
+                                   Duration{500'000}, Duration{1'000'000}, Duration{5'000'000}};
 
 void exposeHistogram(std::ostream &out, const std::string &name, const std::string &label,
                      const LatencyHistogram &histogram)
@@ -37,8 +37,7 @@
 LatencyHistogram::LatencyHistogram()
     : m_histogram(boost::histogram::make_histogram_with(
             Storage(), Axis(binCount, lowestMicroseconds, highestMicroseconds)))
-{
-}
+{}
 
 void LatencyHistogram::record(Duration latency)
 {
@@ -51,8 +50,8 @@
 {
     if (m_count == 0)
         return Duration{0};
-    const auto wanted =
-            static_cast<std::uint64_t>(std::ceil(fraction * static_cast<double>(m_count)));
+    const auto wanted
+            = static_cast<std::uint64_t>(std::ceil(fraction * static_cast<double>(m_count)));
     std::uint64_t seen = 0;
     for (int bin = -1; bin <= static_cast<int>(binCount); ++bin) {
         seen += m_histogram.at(bin);
--- a/src/telemetry/span.cpp
+++ b/src/telemetry/span.cpp
@@ -50,7 +50,7 @@
     TraceContext context;
     std::uint64_t flags = 0;
     const bool hasShape = header.size() == headerLength && header.starts_with("00-")
-            && header[35] == '-' && header[52] == '-';
+                          && header[35] == '-' && header[52] == '-';
     if (!hasShape || !parseHex(header.substr(3, hexLength), &context.traceHigh)
         || !parseHex(header.substr(19, hexLength), &context.traceLow)
         || !parseHex(header.substr(36, hexLength), &context.span)
@@ -65,7 +65,7 @@
 std::string TraceContext::toHeader() const
 {
     return "00-" + toHex(traceHigh) + toHex(traceLow) + "-" + toHex(span)
-            + (sampled ? "-01" : "-00");
+           + (sampled ? "-01" : "-00");
 }
 
 TraceContext TraceContext::child() const
@@ -102,15 +102,15 @@
         body["parentSpanId"] = toHex(span.parent);
     const nlohmann::json resource{
             {"attributes",
-             nlohmann::json::array({attribute("service.name", text(span.service.value())),
-                                    attribute("service.instance.id",
-                                              text(span.instance.value()))})}};
+             nlohmann::json::array(
+                     {attribute("service.name", text(span.service.value())),
+                      attribute("service.instance.id", text(span.instance.value()))})}};
     const nlohmann::json scope{{"scope", {{"name", "buckthornford"}}},
                                {"spans", nlohmann::json::array({body})}};
     return nlohmann::json{
             {"resourceSpans",
-             nlohmann::json::array({{{"resource", resource},
-                                     {"scopeSpans", nlohmann::json::array({scope})}}})}}
+             nlohmann::json::array(
+                     {{{"resource", resource}, {"scopeSpans", nlohmann::json::array({scope})}}})}}
             .dump();
 }
 
--- a/src/telemetry/span.h
+++ b/src/telemetry/span.h
@@ -34,7 +34,7 @@
 {
     TraceContext context;
     std::uint64_t parent = 0; ///< 0 for the first hop
-    std::string_view name; ///< "entry" or "gate"
+    std::string_view name;    ///< "entry" or "gate"
     WallTime start;
     WallTime end;
     ServiceName service;
@@ -56,7 +56,9 @@
 class SpanBuffer
 {
 public:
-    explicit SpanBuffer(std::size_t capacity) : m_capacity(capacity) { }
+    explicit SpanBuffer(std::size_t capacity)
+        : m_capacity(capacity)
+    {}
 
     void add(Span span);
     const std::deque<Span> &spans() const { return m_spans; }
--- /dev/null
+++ b/src/telemetry/tests/test_telemetry.cpp
@@ -0,0 +1,72 @@
+#define BOOST_TEST_MODULE telemetry
+#include "telemetry/telemetry.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace buckthornford;
+
+BOOST_AUTO_TEST_CASE(quantilesAgreeWithSortedValues)
+{
+    std::mt19937_64 random(7);
+    std::lognormal_distribution<double> latency(9.0, 1.0);
+    LatencyHistogram histogram;
+    std::vector<std::int64_t> values;
+    for (int i = 0; i < 20'000; ++i) {
+        values.push_back(static_cast<std::int64_t>(latency(random)));
+        histogram.record(Duration{values.back()});
+    }
+    std::sort(values.begin(), values.end());
+    for (const double fraction : {0.5, 0.9, 0.99, 0.999}) {
+        const auto index = static_cast<std::size_t>(fraction * (values.size() - 1));
+        const auto exact = static_cast<double>(values[index]);
+        const auto found = static_cast<double>(histogram.quantile(fraction).count());
+        BOOST_TEST(found == exact, boost::test_tools::tolerance(0.05));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(traceparentRoundTrips)
+{
+    const std::string header = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    const Result<TraceContext> context = TraceContext::parse(header);
+    BOOST_TEST(context.value().toHeader() == header);
+    BOOST_TEST(context.value().sampled);
+    BOOST_TEST(context.value().child().span != context.value().span);
+}
+
+BOOST_AUTO_TEST_CASE(malformedTraceparentsAreRefused)
+{
+    for (const char *header : {"", "00", "01-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+                               "00-0af7651916cd43dd8448eb211c80319c-b7ad6b716920333-001",
+                               "00-00000000000000000000000000000000-b7ad6b7169203331-01",
+                               "00-0af7651916cd43dd8448eb211c80319c-0000000000000000-01",
+                               "00-0af7651916cd43dd8448eb211c80319x-b7ad6b7169203331-01"})
+        BOOST_TEST(!TraceContext::parse(header).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(spansOfFailuresAreAlwaysKept)
+{
+    SpanBuffer buffer(2);
+    Span span;
+    buffer.add(span);
+    BOOST_TEST(buffer.spans().empty());
+    span.outcome = Outcome::NotRun;
+    for (int i = 0; i < 3; ++i)
+        buffer.add(span);
+    BOOST_TEST(buffer.spans().size() == 2);
+    const auto line = nlohmann::json::parse(toOtlpLine(span));
+    BOOST_TEST(line["resourceSpans"][0]["scopeSpans"][0]["spans"][0]["status"]["code"] == 2);
+}
+
+BOOST_AUTO_TEST_CASE(expositionCountsOutcomes)
+{
+    RequestMetrics metrics;
+    metrics.record(ClassName{"affirmation"}, Outcome::NotRun, Error::QueueFull, Duration{700});
+    const std::string text = metrics.exposition("x");
+    BOOST_TEST(text.find("x_requests_total{class=\"affirmation\",outcome=\"not-run\"} 1")
+               != std::string::npos);
+    BOOST_TEST(text.find("x_latency_seconds_bucket{class=\"affirmation\",le=\"0.001\"} 1")
+               != std::string::npos);
+}
