Make the limit follow a congested upstream without collapsing

Cause: under 3x overload the limit fell to 1 and total goodput below naive's. Ruled out: fast 5xx answers as latency samples (pulled the floor to 1 ms); a floor that is the least of small noisy medians (stretch 2 at no load); a limit compared with its fraction (1.4 could never count as reached). Also found: one connection for each caller and entry used up the door's threads; a crowded door now closes connections after their answer. Change: floors per operation fall by a fifth towards a lower window median and drift by time; cautious cost (mean and two deviations) decides what is hopeless.

--- a/programs/load/main.cpp
+++ b/programs/load/main.cpp
@@ -40,7 +40,7 @@
         SettingRule{"entries", endpoints, "IP:PORT,IP:PORT,..."},
         SettingRule{"ledgers", endpointList, "IP:PORT,IP:PORT,... or nothing"},
         SettingRule{"phases", optionalPhases, "NAME:SECONDSxRATE,... or nothing"},
-        SettingRule{"callers", wholeNumber<1, 2000>, "1 to 2000"},
+        SettingRule{"callers", wholeNumber<1, 10000>, "1 to 10000"},
         SettingRule{"run", name, "1 to 64 letters, digits, - _ ."},
         SettingRule{"seed", wholeNumber<0, INT64_MAX>, "a whole number from 0"},
 };
@@ -82,8 +82,8 @@
     Shooter *idleShooter()
     {
         if (m_idle.empty()) {
-            m_shooters.push_back(std::make_unique<Shooter>(parseEndpoints(FLAGS_entries), FLAGS_run,
-                                                           &m_reports));
+            m_shooters.push_back(std::make_unique<Shooter>(
+                    parseEndpoints(FLAGS_entries), m_shooters.size(), FLAGS_run, &m_reports));
             m_shooters.back()->start();
             m_idle.push_back(m_shooters.back().get());
         }
--- a/programs/load/plan.cpp
+++ b/programs/load/plan.cpp
@@ -27,6 +27,7 @@
     kind.answerBytes = object.value("answerBytes", kind.answerBytes);
     kind.usesKey = object.value("usesKey", kind.usesKey);
     kind.crashes = object.value("crashes", kind.crashes);
+    kind.isDirect = object.value("direct", kind.isDirect);
     return kind;
 }
 
--- a/programs/load/plan.h
+++ b/programs/load/plan.h
@@ -21,8 +21,9 @@
     Duration timeout{std::chrono::seconds(1)};
     std::uint32_t resends = 0; ///< by the caller itself
     std::size_t answerBytes = 100;
-    bool usesKey = false; ///< fetches idempotency keys ahead of use
-    bool crashes = false; ///< ends each upstream that runs it
+    bool usesKey = false;  ///< fetches idempotency keys ahead of use
+    bool crashes = false;  ///< ends each upstream that runs it
+    bool isDirect = false; ///< goes to an upstream itself, past all nodes
 
     bool isIdempotent() const { return method != "POST" && method != "PATCH"; }
 };
--- a/programs/load/report.cpp
+++ b/programs/load/report.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Duration seriesStep = std::chrono::milliseconds(250);
+constexpr std::size_t maxSuspects = 20;
 constexpr Duration ledgerTimeout = std::chrono::seconds(10);
 
 } // namespace
@@ -83,10 +84,17 @@
             continue;
         for (const SendRecord &send : result.sends) {
             // A non-idempotent request runs at most once in each service of its chain.
-            for (const auto &[service, rows] : ledgers)
-                m_duplicates += runsOf(service, send.nonce) > 1 ? 1 : 0;
+            for (const auto &[service, rows] : ledgers) {
+                const bool isDouble = runsOf(service, send.nonce) > 1;
+                m_duplicates += isDouble ? 1 : 0;
+                if (isDouble && m_suspects.size() < maxSuspects)
+                    m_suspects.push_back(send.nonce + " ran twice in " + service);
+            }
             const std::uint32_t runs = runsOf(kind.service, send.nonce);
-            m_falseNotRun += send.outcome == Outcome::NotRun && runs > 0 ? 1 : 0;
+            const bool isFalse = send.outcome == Outcome::NotRun && runs > 0;
+            m_falseNotRun += isFalse ? 1 : 0;
+            if (isFalse && m_suspects.size() < maxSuspects)
+                m_suspects.push_back(send.nonce + " " + send.reason);
             m_completedNotRun += send.outcome == Outcome::Completed && runs == 0 ? 1 : 0;
         }
     }
@@ -140,6 +148,7 @@
             {"duplicates", m_duplicates},
             {"falseNotRun", m_falseNotRun},
             {"completedNotRun", m_completedNotRun},
+            {"suspects", m_suspects},
             {"sends", sends},
             {"attempts", attempts},
             {"executions", m_executions},
--- a/programs/load/report.h
+++ b/programs/load/report.h
@@ -59,7 +59,8 @@
     std::uint64_t m_crossed = 0;
     std::uint64_t m_duplicates = 0;
     std::uint64_t m_falseNotRun = 0;
-    std::uint64_t m_completedNotRun = 0;               ///< completed, but no ledger knows of it
+    std::vector<std::string> m_suspects; ///< nonce and reason of sends that were told wrong
+    std::uint64_t m_completedNotRun = 0; ///< completed, but no ledger knows of it
     std::map<std::string, std::uint64_t> m_executions; ///< by service
 };
 
--- a/programs/load/shooter.cpp
+++ b/programs/load/shooter.cpp
@@ -16,6 +16,8 @@
 Outcome outcomeFromHeader(const HttpResponse &response)
 {
     const std::string *text = findHeader(response.headers, "Buckthornford-Outcome");
+    if (text == nullptr && response.status == statusOk) // An upstream, called directly.
+        return Outcome::Completed;
     if (text == nullptr) // A door refused the request itself.
         return response.status >= 400 && response.status < 500 ? Outcome::NotRun : Outcome::Unknown;
     for (const Outcome outcome : {Outcome::Completed, Outcome::Failed, Outcome::NotRun}) {
@@ -39,8 +41,10 @@
 
 } // namespace
 
-Shooter::Shooter(std::vector<Endpoint> entries, std::string runName, Mailbox<ShotReport> *reports)
+Shooter::Shooter(std::vector<Endpoint> entries, std::size_t home, std::string runName,
+                 Mailbox<ShotReport> *reports)
     : m_entries(std::move(entries))
+    , m_home(home % m_entries.size())
     , m_runName(std::move(runName))
     , m_reports(reports)
 {}
@@ -53,16 +57,18 @@
 Result<HttpResponse> Shooter::exchange(std::size_t entry, const HttpRequest &request,
                                        Duration timeout)
 {
-    auto found = m_connections.find(entry);
-    if (found == m_connections.end()) {
+    if (entry != m_connectedEntry)
+        m_connection.reset();
+    if (!m_connection) {
         Result<HttpConnection> connection = HttpConnection::connect(m_entries[entry]);
         if (!connection)
             return connection.error();
-        found = m_connections.emplace(entry, std::move(connection.value())).first;
+        m_connection.emplace(std::move(connection.value()));
+        m_connectedEntry = entry;
     }
-    Result<HttpResponse> response = found->second.exchange(request, timeout);
-    if (!response || found->second.mustClose())
-        m_connections.erase(found);
+    Result<HttpResponse> response = m_connection->exchange(request, timeout);
+    if (!response || m_connection->mustClose())
+        m_connection.reset();
     return response;
 }
 
@@ -98,7 +104,7 @@
     const RequestKind &kind = order.kind;
     HttpRequest request;
     request.method = kind.method;
-    request.path = "/call/" + kind.service + "/" + kind.operation;
+    request.path = (kind.isDirect ? "/" : "/call/" + kind.service + "/") + kind.operation;
     const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(kind.timeout);
     request.headers = {{"Request-Class", kind.className},
                        {"Request-Caller", kind.caller},
@@ -124,7 +130,7 @@
 {
     SendRecord record;
     record.nonce = nonce;
-    const std::size_t entry = (order.shot.number * 7 + sendNumber) % m_entries.size();
+    const std::size_t entry = (m_home + sendNumber) % m_entries.size();
     const Result<HttpResponse> response
             = exchange(entry, requestOf(order, nonce, key), order.kind.timeout + answerSlack);
     if (!response) {
@@ -155,9 +161,9 @@
     result.shot = order.shot;
     const std::string base = m_runName + "-" + std::to_string(order.shot.number);
     std::string nonce = base;
-    const std::size_t firstEntry = order.shot.number * 7 % m_entries.size();
+
     const bool usesKey = order.kind.usesKey && !order.kind.isIdempotent();
-    std::string key = usesKey ? takeKey(order.kind.service, firstEntry) : "";
+    std::string key = usesKey ? takeKey(order.kind.service, m_home) : "";
     for (std::uint32_t number = 0; number <= order.kind.resends; ++number) {
         const SendRecord record = send(order, nonce, key, number, &result);
         result.outcome = record.outcome;
@@ -166,13 +172,13 @@
             break;
         // What may have run must not be sent without its key.
         const bool mayResend
-                = order.kind.isIdempotent() || record.outcome == Outcome::NotRun || usesKey;
+                = order.kind.isIdempotent() || record.outcome == Outcome::NotRun || !key.empty();
         if (!mayResend)
             break;
         if (!order.kind.isIdempotent() && record.outcome == Outcome::NotRun) {
             // A refused key stays refused, and the ledger must tell the sends apart.
             nonce = base + "." + std::to_string(number + 1);
-            key = usesKey ? takeKey(order.kind.service, firstEntry) : "";
+            key = usesKey ? takeKey(order.kind.service, m_home) : "";
         }
     }
     const TimePoint end = monotonicNow();
--- a/programs/load/shooter.h
+++ b/programs/load/shooter.h
@@ -55,7 +55,9 @@
 class Shooter : public Task<ShotOrder>
 {
 public:
-    Shooter(std::vector<Endpoint> entries, std::string runName, Mailbox<ShotReport> *reports);
+    /// \a home is the entry that the caller uses first; its re-sends go to the next ones.
+    Shooter(std::vector<Endpoint> entries, std::size_t home, std::string runName,
+            Mailbox<ShotReport> *reports);
     ~Shooter() override { stop(); }
 
 protected:
@@ -77,9 +79,11 @@
     };
 
     std::vector<Endpoint> m_entries;
+    std::size_t m_home;
     std::string m_runName;
     Mailbox<ShotReport> *m_reports;
-    std::map<std::size_t, HttpConnection> m_connections;
+    std::optional<HttpConnection> m_connection;
+    std::size_t m_connectedEntry = 0;
     std::map<std::string, KeyStock> m_keys;
 };
 
--- a/src/admission/cost.cpp
+++ b/src/admission/cost.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-constexpr double meanWeight = 0.1;            ///< of a new sample
-constexpr double shareDecay = 0.999;          ///< per sample
+constexpr double meanWeight = 0.1;   ///< of a new sample
+constexpr double shareDecay = 0.999; ///< per sample
+constexpr double cautiousDeviations = 2.0;
 constexpr double longFactor = 6.0;            ///< times the typical cost
 constexpr std::uint32_t refreshInterval = 32; ///< samples
 constexpr Duration shortMemory = std::chrono::seconds(1);
@@ -23,6 +24,7 @@
         cost.share *= shareDecay;
     Cost &cost = m_costs[operation];
     cost.mean = cost.share == 0.0 ? sample : cost.mean + meanWeight * (sample - cost.mean);
+    cost.deviation += meanWeight * (std::abs(sample - cost.mean) - cost.deviation);
     cost.share += 1.0;
     if (m_sinceRefresh++ % refreshInterval == 0)
         refreshTypical();
@@ -54,6 +56,15 @@
                                   : Duration{static_cast<Duration::rep>(found->second.mean)};
 }
 
+Duration CostBook::cautious(const OperationName &operation) const
+{
+    const auto found = m_costs.find(operation);
+    if (found == m_costs.end())
+        return Duration{0};
+    const Cost &cost = found->second;
+    return Duration{static_cast<Duration::rep>(cost.mean + cautiousDeviations * cost.deviation)};
+}
+
 bool CostBook::isLong(const OperationName &operation) const
 {
     const auto found = m_costs.find(operation);
--- a/src/admission/cost.h
+++ b/src/admission/cost.h
@@ -16,14 +16,18 @@
     /// Expected time at the upstream; 0 where nothing is known.
     Duration expected(const OperationName &operation) const;
 
+    /// Time within which most executions end; 0 where nothing is known.
+    Duration cautious(const OperationName &operation) const;
+
     /// Whether the kind runs many times longer than most of the work does.
     bool isLong(const OperationName &operation) const;
 
 private:
     struct Cost
     {
-        double mean = 0.0;  ///< microseconds
-        double share = 0.0; ///< of recent work, decaying
+        double mean = 0.0;      ///< microseconds
+        double deviation = 0.0; ///< mean distance from the mean, microseconds
+        double share = 0.0;     ///< of recent work, decaying
     };
 
     void refreshTypical();
--- a/src/admission/limiter.cpp
+++ b/src/admission/limiter.cpp
@@ -8,18 +8,19 @@
 namespace {
 
 constexpr Duration windowLength = std::chrono::milliseconds(100);
-constexpr std::size_t minWindowSamples = 8;
-
+constexpr std::size_t minWindowSamples = 4;
+constexpr std::size_t maxWindowSamples = 16;
 constexpr double coldStart = 2.0;  ///< low, so that the floor is learned without congestion
 constexpr double fastGrowth = 1.6; ///< per window while the limit is reached
 constexpr double slowGrowth = 1.1; ///< when latencies begin to stretch
 constexpr double noticeableStretch = 1.2;
-constexpr double tolerableStretch = 1.5; ///< latency over the uncongested latency
-constexpr double minShrink = 0.7;        ///< per window
+constexpr double tolerableStretch = 1.6; ///< latency over the uncongested latency
+constexpr double minShrink = 0.8;        ///< per window
 constexpr double shedShrink = 0.8;
 constexpr Duration minShrinkInterval = std::chrono::milliseconds(50);
-constexpr double floorDrift = 1.0002; ///< per window
-constexpr double bottomShare = 0.1;   ///< of the ceiling; less load can hardly be had
+constexpr double floorFall = 0.2; ///< weight of a lower median; a least value would follow noise
+constexpr double floorDriftPerSecond = 0.002;
+constexpr double bottomShare = 0.1; ///< of the ceiling; less load can hardly be had
 constexpr double minBottom = 2.0;
 constexpr int bottomPatience = 5; ///< stretched windows at the bottom until the floor is relearned
 constexpr double reachedShare = 0.8;  ///< of the limit, to count as reached
@@ -86,6 +87,8 @@
     m_lastEnd = now;
     if (std::exchange(m_stalled, false))
         shrink(minShrink, now);
+    if (sample.end == ExecutionSample::End::Failed)
+        return;
     if (sample.end != ExecutionSample::End::Answered) {
         shrink(shedShrink, now);
         return;
@@ -96,34 +99,44 @@
                                : m_typicalLatency + latencyWeight * (latency - m_typicalLatency);
     m_operations[sample.operation].window.push_back(sample.latency);
     ++m_samples;
-    if (now - m_windowStart >= windowLength && m_samples >= minWindowSamples)
+    if (now - m_windowStart >= windowLength && m_samples >= neededSamples())
         closeWindow(now);
 }
 
-/// How much longer than uncongested this window's work took; 1 where nothing is known yet.
-double AdaptiveLimiter::windowStretch()
+/// Few samples do at a low limit, where more would take long to come.
+std::size_t AdaptiveLimiter::neededSamples() const
 {
+    return std::clamp(static_cast<std::size_t>(2.0 * m_limit), minWindowSamples, maxWindowSamples);
+}
+
+/// How much longer than uncongested the window's work took; 1 where nothing is known yet.
+/// Operations with few samples wait for the next window.
+double AdaptiveLimiter::takeStretch(TimePoint now)
+{
+    const double seconds = std::chrono::duration<double>(now - m_windowStart).count();
+    const double drift = 1.0 + floorDriftPerSecond * seconds;
     double weighted = 0.0;
     double weight = 0.0;
     for (auto &[name, operation] : m_operations) {
-        if (operation.window.empty())
+        if (operation.window.size() < neededSamples() / 2)
             continue;
         const auto count = static_cast<double>(operation.window.size());
-        const double latency = std::max(1.0, median(&operation.window));
-        const double floor = operation.floor ? *operation.floor * floorDrift : latency;
-        operation.floor = std::min(floor, latency);
-        weighted += count * latency / *operation.floor;
-        weight += count;
+        const double middle = std::max(1.0, median(&operation.window));
         operation.window.clear();
+        double floor = operation.floor.value_or(middle);
+        floor = middle < floor ? floor + floorFall * (middle - floor) : floor * drift;
+        operation.floor = floor;
+        weighted += count * middle / floor;
+        weight += count;
     }
     return weight == 0.0 ? 1.0 : weighted / weight;
 }
 
 void AdaptiveLimiter::closeWindow(TimePoint now)
 {
-    const double stretch = windowStretch();
+    const double stretch = takeStretch(now);
     noteBottom(stretch);
-    const bool isReached = m_peakInFlight >= reachedShare * m_limit;
+    const bool isReached = m_peakInFlight >= reachedShare * limit().value();
     if (stretch > tolerableStretch)
         shrink(std::max(minShrink, tolerableStretch / stretch), now);
     else if (isReached)
--- a/src/admission/limiter.h
+++ b/src/admission/limiter.h
@@ -14,7 +14,13 @@
 {
     OperationName operation;
     Duration latency{0};
-    enum class End { Answered, Shed, Lost } end = End::Answered;
+    enum class End {
+        Answered,
+        Failed, ///< its latency says nothing of the upstream's load
+        Shed,
+        Lost,
+    } end
+            = End::Answered;
 };
 
 /// Decides how many executions an upstream may have in progress.
@@ -71,11 +77,12 @@
     struct Operation
     {
         std::vector<Duration> window;
-        std::optional<double> floor; ///< median latency when uncongested, microseconds
+        std::optional<double> floor; ///< uncongested latency in microseconds
     };
 
     void closeWindow(TimePoint now);
-    double windowStretch();
+    std::size_t neededSamples() const;
+    double takeStretch(TimePoint now);
     void noteBottom(double stretch);
     void grow(double factor);
     void shrink(double factor, TimePoint now);
@@ -83,8 +90,8 @@
     double m_limit = 1.0;
     double m_ceiling = 1.0;
     std::uint32_t m_peakInFlight = 0; ///< within the window
-    std::size_t m_samples = 0;
-    int m_stretchedAtBottom = 0; ///< windows in a row
+    std::size_t m_samples = 0;        ///< within the window
+    int m_stretchedAtBottom = 0;      ///< windows in a row
     std::map<OperationName, Operation> m_operations;
     TimePoint m_windowStart;
     TimePoint m_lastShrink;
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -293,8 +293,10 @@
         send(call, attempt.peer, actions, now);
         return;
     }
-    const Result<Pick> next = m_router->pick(pickRequest(*call), now);
-    if (next)
+    // What ran and failed may be tried again where it failed, if there is no other target.
+    if (answer.outcome != Outcome::NotRun && !m_router->pick(pickRequest(*call), now))
+        call->tried.clear();
+    if (m_router->pick(pickRequest(*call), now))
         sendToAny(call, actions, now, wall);
     else
         finish(call, std::move(answer), actions, now, wall);
--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr int firstClientError = 400;
 constexpr int firstServerError = 500;
 
 /// What one end at the upstream means for the caller.
@@ -128,7 +129,7 @@
 
 bool Gate::isHopeless(const Claim &claim, TimePoint now) const
 {
-    return now + m_costs.expected(claim.operation) >= claim.deadline;
+    return now + m_costs.cautious(claim.operation) >= claim.deadline;
 }
 
 bool Gate::mayStart(const Claim &claim, TimePoint now) const
@@ -223,7 +224,9 @@
         sample.end = ExecutionSample::End::Shed;
     else if (result.end != End::Answered)
         sample.end = ExecutionSample::End::Lost;
-    else if (result.status < firstServerError)
+    else if (result.status >= firstClientError)
+        sample.end = ExecutionSample::End::Failed;
+    else
         m_costs.record(operation, result.latency);
     m_limiter->onEnd(sample, m_inFlight, now);
 }
--- a/src/gate/tests/test_gate.cpp
+++ b/src/gate/tests/test_gate.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <deque>
 #include <map>
 #include <set>
 
@@ -183,6 +184,30 @@
     BOOST_TEST(gate.isIdle());
 }
 
+BOOST_AUTO_TEST_CASE(fastFailuresDoNotLowerTheLimit)
+{
+    Gate gate = makeGate({}, 100);
+    gate.announce(Slots{16}, true, at(0));
+    std::uint64_t sent = 0;
+    std::deque<std::pair<std::int64_t, ExecutionId>> running;
+    const auto take = [&](const GateActions &actions, std::int64_t now) {
+        for (const auto &start : only<StartExecution>(actions))
+            running.emplace_back(now + (sent % 2 == 0 ? 1 : 20), start.execution);
+    };
+    for (std::int64_t now = 0; now < 5000; ++now) {
+        ++sent;
+        take(gate.run(makeRun(sent, "high"), replyTo(sent), preset(), at(now), wall), now);
+        while (!running.empty() && running.front().first <= now) {
+            const auto [end, id] = running.front();
+            running.pop_front();
+            UpstreamResult result = answered(id, sent % 2 == 0 ? 503 : 200);
+            result.latency = std::chrono::milliseconds(sent % 2 == 0 ? 1 : 20);
+            take(gate.finish(result, {}, at(now)), now);
+        }
+    }
+    BOOST_TEST(gate.load().limit >= 12);
+}
+
 BOOST_AUTO_TEST_CASE(aLostUpstreamLeavesTheOutcomeUnknown)
 {
     Gate gate = makeGate(fixedPolicy);
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -62,7 +62,9 @@
 struct HttpServerSettings
 {
     Endpoint endpoint;
-    int threads = 16; ///< also the largest number of connections served at once
+    /// Also the largest number of connections served at once. When three in four are taken,
+    /// connections are closed after their answer, so that idle ones keep nobody out.
+    int threads = 16;
     Bytes maxBody{1U << 20U};
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <charconv>
 #include <cstring>
 #include <strings.h>
@@ -171,14 +172,31 @@
 
 struct HttpServer::Private
 {
+    bool isCrowded() const { return 4 * connections.load() > 3 * threads; }
+
     HttpHandler handler;
+    int threads = 0;
+    std::atomic<int> connections{0}; ///< each holds a thread
     Bytes maxBody;
     mg_callbacks callbacks{};
     mg_context *context = nullptr;
 
     static int onRequest(mg_connection *connection, void *data);
+    static int onOpened(const mg_connection *connection, void **data);
+    static void onClosed(const mg_connection *connection);
 };
 
+int HttpServer::Private::onOpened(const mg_connection *connection, void **)
+{
+    ++static_cast<Private *>(mg_get_user_data(mg_get_context(connection)))->connections;
+    return 0;
+}
+
+void HttpServer::Private::onClosed(const mg_connection *connection)
+{
+    --static_cast<Private *>(mg_get_user_data(mg_get_context(connection)))->connections;
+}
+
 int HttpServer::Private::onRequest(mg_connection *connection, void *data)
 {
     const auto *self = static_cast<const Private *>(data);
@@ -205,7 +223,10 @@
         mg_disable_connection_keep_alive(connection);
         return 1;
     }
-    writeResponse(connection, response, wantsClose(info));
+    const bool closes = wantsClose(info) || self->isCrowded();
+    writeResponse(connection, response, closes);
+    if (closes)
+        mg_disable_connection_keep_alive(connection);
     return response.status;
 }
 
@@ -215,6 +236,9 @@
     auto d = std::make_unique<Private>();
     d->handler = std::move(handler);
     d->maxBody = settings.maxBody;
+    d->threads = settings.threads;
+    d->callbacks.init_connection = Private::onOpened;
+    d->callbacks.connection_closed = Private::onClosed;
     d->callbacks.http_error = onHttpError;
     d->callbacks.log_message = onLogMessage;
     const std::string endpointText = settings.endpoint.toString();
