--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -1,6 +1,8 @@
 #include "ctl/commands.h"
 
 #include "ctl/print.h"
+#include "ctl/top.h"
+#include "ctl/trace.h"
 #include "preset/preset.h"
 
 #include <algorithm>
@@ -9,6 +11,8 @@
 #include <iostream>
 #include <optional>
 #include <sstream>
+#include <thread>
+#include <unistd.h>
 
 namespace buckthornford {
 
@@ -169,6 +173,51 @@
     return post(context, "/undrain", "taking work again");
 }
 
+int poisonList(const CommandContext &context)
+{
+    return show(context, "/poison", printPoison);
+}
+
+int poisonRelease(const CommandContext &context)
+{
+    const nlohmann::json body{{"content", context.arguments[0]}};
+    const OperatorClient::Reply reply = context.client->post("/poison/release", body.dump());
+    if (reply.status != statusOk)
+        return refuse(context, reply);
+    std::cout << (context.json ? reply.body.dump() : "released " + context.arguments[0]) << '\n';
+    return exitOk;
+}
+
+int trace(const CommandContext &context)
+{
+    const std::size_t count =
+            printTrace(std::cout, collectSpans(*context.client), context.arguments[0]);
+    if (count > 0)
+        return exitOk;
+    std::cerr << "no node keeps a span of trace " << context.arguments[0] << '\n';
+    return exitRefused;
+}
+
+/// Refreshes the screen of a terminal; elsewhere prints one view as plain text.
+int top(const CommandContext &context)
+{
+    constexpr std::chrono::seconds interval(1);
+    const bool isTerminal = isatty(STDOUT_FILENO) != 0;
+    FleetView before = readFleet(*context.client);
+    if (before.members.empty())
+        return refuse(context, context.client->read("/members"));
+    do {
+        std::this_thread::sleep_for(interval);
+        FleetView now = readFleet(*context.client);
+        if (isTerminal)
+            std::cout << "\033[H\033[2J";
+        printTop(std::cout, before, now, std::chrono::duration<double>(interval).count());
+        std::cout.flush();
+        before = std::move(now);
+    } while (isTerminal);
+    return exitOk;
+}
+
 int metrics(const CommandContext &context)
 {
     const OperatorClient::Reply reply = context.client->read("/metrics");
@@ -193,6 +242,10 @@
                 configurationShow},
         Command{"drain", "", "take no new work, finish what is in flight", 0, drain},
         Command{"undrain", "", "take work again", 0, undrain},
+        Command{"poison list", "", "contents that ran during crashes of upstreams", 0, poisonList},
+        Command{"poison release", "CONTENT", "let a refused content run again", 1, poisonRelease},
+        Command{"trace", "TRACE", "one request as a tree, from the spans that nodes keep", 1, trace},
+        Command{"top", "", "live view of the fleet; one view if not on a terminal", 0, top},
         Command{"metrics", "", "metrics in the text exposition format", 0, metrics},
 };
 
--- a/programs/ctl/print.cpp
+++ b/programs/ctl/print.cpp
@@ -70,6 +70,15 @@
     }
 }
 
+void printPoison(std::ostream &out, const nlohmann::json &body)
+{
+    out << std::left << std::setw(nameWidth) << "content" << std::setw(numberWidth) << "crashes"
+        << "refused\n";
+    for (const auto &row : body["contents"])
+        out << std::setw(nameWidth) << row.value("content", "") << std::setw(numberWidth)
+            << row["crashes"] << (row.value("refused", false) ? "yes" : "no") << '\n';
+}
+
 void printRefusal(std::ostream &out, const OperatorClient::Reply &reply)
 {
     if (!reply.body.is_object()) {
--- a/programs/node/main.cpp
+++ b/programs/node/main.cpp
@@ -14,6 +14,7 @@
 DEFINE_string(peers, "127.0.0.1:7004", "door for other nodes");
 DEFINE_string(peer_address, "", "how other nodes reach the peer door, if not as it listens");
 DEFINE_string(seeds, "", "peer doors of a few other nodes");
+DEFINE_string(dial, "", "addresses to dial in place of advertised ones, as for NAT");
 DEFINE_string(platform, "", "table service of the platform; empty for none");
 DEFINE_string(policy, "buckthornford", "policy of this node, the same everywhere");
 DEFINE_string(caller_threads, "64", "connections served at once at the callers' door");
@@ -28,6 +29,17 @@
 
 namespace {
 
+bool dialList(std::string_view text)
+{
+    for (const std::string &part : splitList(text, ',')) {
+        const std::size_t equals = part.find('=');
+        if (equals == std::string::npos || !endpoint(part.substr(0, equals))
+            || !endpoint(part.substr(equals + 1)))
+            return false;
+    }
+    return true;
+}
+
 constexpr std::array rules{
         SettingRule{"instance", name, "1 to 64 letters, digits, - _ ."},
         SettingRule{"zone", name, "1 to 64 letters, digits, - _ ."},
@@ -38,6 +50,7 @@
         SettingRule{"peers", endpoint, "IP:PORT"},
         SettingRule{"peer_address", optionalEndpoint, "IP:PORT or nothing"},
         SettingRule{"seeds", endpointList, "IP:PORT,IP:PORT,... or nothing"},
+        SettingRule{"dial", dialList, "IP:PORT=IP:PORT,... or nothing"},
         SettingRule{"platform", optionalEndpoint, "IP:PORT or nothing"},
         SettingRule{"policy", isPolicyName, "buckthornford or naive"},
         SettingRule{"caller_threads", wholeNumber<1, 2000>, "1 to 2000"},
@@ -67,6 +80,10 @@
     settings.peers = endpointOf(FLAGS_peers);
     settings.peerAddress = FLAGS_peer_address;
     settings.seeds = splitList(FLAGS_seeds, ',');
+    for (const std::string &part : splitList(FLAGS_dial, ',')) {
+        const std::size_t equals = part.find('=');
+        settings.dial[part.substr(0, equals)] = part.substr(equals + 1);
+    }
     settings.platform = FLAGS_platform;
     settings.policy = FLAGS_policy;
     settings.callerThreads = std::stoi(FLAGS_caller_threads);
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -147,13 +147,15 @@
         self.others.append(process)
         return process
 
-    def add(self, name, service, zone, region, upstream=None, peers=None, **node_flags):
+    def add(self, name, service, zone, region, upstream=None, peers=None, peers_listen=None,
+            **node_flags):
         """Starts an instance. `upstream` holds flags of the stand-in; `peers` is the address that
-        others dial, if not the listening one."""
+        others dial; `peers_listen` the listening one, if it's another."""
         slot = Slot(name, service, zone, region)
         for door in ("callers", "upstream", "operators", "peers", "service"):
             slot.addresses[door] = self.ports.take()
         slot.addresses["dialled"] = peers or slot["peers"]
+        slot.addresses["peers"] = peers_listen or slot["dialled"]
         slot.upstream_flags = {"slots": 16, "mean_ms": 5, "seed": len(self.slots) + 1}
         slot.upstream_flags.update(upstream or {})
         slot.extra_node_flags = node_flags
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -75,6 +75,7 @@
     LoadReport load;
     Duration queueWait{0};
     bool replayed = false; ///< from the record of an earlier run
+    std::uint64_t crash = 0; ///< with Error::UpstreamLost: id of the upstream's start
 };
 
 /// What the part of the chain below an execution left behind.
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -45,6 +45,12 @@
     }
 }
 
+const Work *Entry::workOf(RequestId id) const
+{
+    const auto found = m_calls.find(id);
+    return found == m_calls.end() ? nullptr : &found->second.work;
+}
+
 const DirectoryEntry *Entry::lookUp(const InstanceId &instance) const
 {
     const auto found = m_directory.find(instance);
@@ -129,6 +135,8 @@
                                 : fillFromPreset(&call, request, *configuration, now);
     if (!error && !m_router->knowsService(call.work.service))
         error = Error::UnknownService;
+    if (!error && isPoisonous(call.work))
+        error = Error::Poisonous;
     if (error) {
         finishRefused(&call, *error, Outcome::NotRun, &actions, now, wall);
         return actions;
@@ -262,10 +270,17 @@
     goOn(call, m_settings.policy.chooseRetry(end), attempt, std::move(answer), actions, now, wall);
 }
 
+bool Entry::isPoisonous(const Work &work) const
+{
+    return m_settings.poison != nullptr && m_settings.poison->isPoisonous(contentHash(work));
+}
+
 bool Entry::mayRetry(Call *call, RetryChoice choice)
 {
     if (m_settings.policy.fixedRetries)
         return call->attempts <= m_settings.policy.fixedRetries->value();
+    if (isPoisonous(call->work))
+        return false;
     // A moved key has to be followed, or "not run" would not be certain.
     const bool isFree = choice == RetryChoice::FollowKey;
     if (call->budget.tokens() == Tokens{0} || (!isFree && !m_ratio.spend(call->work.caller)))
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -5,6 +5,7 @@
 
 #include "call/call.h"
 #include "execution/execution.h"
+#include "poison/poison.h"
 #include "preset/preset.h"
 #include "retry/retry.h"
 #include "routing/routing.h"
@@ -77,6 +78,7 @@
     Depth maxDepth{16};
     std::uint64_t seed = 1;
     double sampledShare = 0.01; ///< of the traces that start here
+    const PoisonBook *poison = nullptr; ///< contents that are refused; none if not set
 };
 
 /// A live node as the directory of members knows it.
@@ -127,6 +129,9 @@
 
     std::size_t openCalls() const { return m_calls.size(); }
 
+    /// Returns the work of an open call or nullptr.
+    const Work *workOf(RequestId id) const;
+
 private:
     struct Attempt
     {
@@ -187,6 +192,7 @@
     void goOn(Call *call, RetryChoice choice, const Attempt &attempt, Answer answer,
               EntryActions *actions, TimePoint now, WallTime wall);
     bool mayRetry(Call *call, RetryChoice choice);
+    bool isPoisonous(const Work &work) const;
     void finish(Call *call, Answer answer, EntryActions *actions, TimePoint now, WallTime wall);
     void finishRefused(Call *call, Error reason, Outcome outcome, EntryActions *actions,
                        TimePoint now, WallTime wall);
--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -71,6 +71,9 @@
         return Error::UpstreamAbsent;
     if (execution.deadline <= now)
         return Error::DeadlineExpired;
+    if (m_settings.poison != nullptr
+        && m_settings.poison->isPoisonous(contentHash(execution.run.work)))
+        return Error::Poisonous;
     return std::nullopt;
 }
 
@@ -111,7 +114,8 @@
     m_byReply[from] = id;
     const auto &stored = m_executions.emplace(id, std::move(execution)).first->second;
     if (reason) {
-        refuse(id, *reason, *reason != Error::DeadlineExpired, &actions);
+        const bool isFinal = *reason == Error::DeadlineExpired || *reason == Error::Poisonous;
+        refuse(id, *reason, !isFinal, &actions);
         return actions;
     }
     if (!stored.isLong)
@@ -243,6 +247,8 @@
         answer.retryable = run.work.idempotent && !chain.failedForGood;
     }
     answer.status = result.status;
+    if (result.end == UpstreamResult::End::Lost)
+        answer.crash = result.upstreamStart;
     answer.contentType = std::move(result.contentType);
     answer.body = std::move(result.body);
     answer.bodyChecksum = checksum(answer.body);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -6,6 +6,7 @@
 #include "admission/admission.h"
 #include "call/call.h"
 #include "execution/execution.h"
+#include "poison/poison.h"
 #include "preset/preset.h"
 
 #include <map>
@@ -34,6 +35,7 @@
     GatePolicy policy;
     ExecutionRecord::Settings record;
     std::size_t queueCapacity = 512;
+    const PoisonBook *poison = nullptr; ///< contents that are refused; none if not set
 };
 
 /// How an execution ended at the upstream.
@@ -54,6 +56,7 @@
     std::string contentType;
     std::string body;
     Duration latency{0};
+    std::uint64_t upstreamStart = 0; ///< id of the upstream's start that was asked
 };
 
 /// Ask the upstream to run \a run.
--- a/src/link/client.cpp
+++ b/src/link/client.cpp
@@ -75,12 +75,12 @@
 public:
     using Ender = std::function<void(std::shared_ptr<void>)>;
 
-    ClientStream(PeerRef peer, ClientEvents *events, Ender ender)
+    ClientStream(PeerRef peer, const std::string &address, ClientEvents *events, Ender ender)
         : m_peer(std::move(peer))
         , m_ender(std::move(ender))
         , m_events(events)
         , m_id(nextChannel())
-        , m_channel(createChannel(m_peer.address))
+        , m_channel(createChannel(address))
         , m_stub(wire::PeerDoor::NewStub(m_channel))
     {}
 
@@ -200,8 +200,9 @@
 void LinkClient::open(const PeerRef &peer, TimePoint now)
 {
     m_ended->add();
+    const auto dialled = m_settings.dial.find(peer.address);
     auto stream = std::make_shared<ClientStream>(
-            peer, m_events,
+            peer, dialled == m_settings.dial.end() ? peer.address : dialled->second, m_events,
             [ended = m_ended](std::shared_ptr<void> own) { ended->end(std::move(own)); });
     m_streams[peer.instance] = Stream{peer, stream, now, now, now};
     stream->begin(m_self);
--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -1,5 +1,9 @@
 #include "link/codec_p.h"
 
+#include "link/outbox_p.h"
+
+#include <atomic>
+
 namespace buckthornford {
 
 namespace {
@@ -100,6 +104,7 @@
     out->set_queued(answer.load.queued);
     out->set_queue_wait_us(answer.queueWait.count());
     out->set_replayed(answer.replayed);
+    out->set_crash(answer.crash);
 }
 
 std::optional<Frame> decodeAnswer(wire::Answer *in)
@@ -122,6 +127,7 @@
     answer.load = {in->in_flight(), in->limit(), in->queued()};
     answer.queueWait = Duration{in->queue_wait_us()};
     answer.replayed = in->replayed();
+    answer.crash = in->crash();
     return answer;
 }
 
@@ -164,6 +170,12 @@
     out->set_wants_hashes(gossip.wantsHashes);
     out->set_revision(gossip.revision.value());
     out->set_configuration(gossip.configuration);
+    for (const Strike &strike : gossip.strikes) {
+        wire::Strike *encoded = out->add_strikes();
+        encoded->set_content(strike.content.value());
+        encoded->set_event(strike.event);
+        encoded->set_is_release(strike.isRelease);
+    }
 }
 
 std::optional<Frame> decodeGossip(const wire::Gossip &in)
@@ -177,6 +189,9 @@
     gossip.wantsHashes = in.wants_hashes();
     gossip.revision = Revision{in.revision()};
     gossip.configuration = in.configuration();
+    for (const wire::Strike &strike : in.strikes())
+        gossip.strikes.push_back(
+                {ContentHash{strike.content()}, strike.event(), strike.is_release()});
     return gossip;
 }
 
@@ -221,6 +236,22 @@
     return std::nullopt;
 }
 
+namespace {
+
+std::atomic<std::uint64_t> sentBytes{0};
+
+} // namespace
+
+void countSentPeerBytes(std::size_t bytes)
+{
+    sentBytes.fetch_add(bytes, std::memory_order_relaxed);
+}
+
+std::uint64_t sentPeerBytes()
+{
+    return sentBytes.load(std::memory_order_relaxed);
+}
+
 std::string encodeBatch(const std::vector<Frame> &frames)
 {
     wire::Batch batch;
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -7,6 +7,7 @@
 #include "settings/settings.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -96,6 +97,7 @@
         Duration silenceLimit{std::chrono::milliseconds(1000)}; ///< without a frame or pong
         Duration pingInterval{std::chrono::milliseconds(300)};
         Duration idleLimit{std::chrono::seconds(30)}; ///< without a frame sent
+        std::map<std::string, std::string> dial; ///< address to dial, by advertised address
     };
 
     LinkClient(PeerRef self, ClientEvents *events, Settings settings);
@@ -132,6 +134,9 @@
     std::unordered_map<InstanceId, Stream> m_streams;
 };
 
+/// Bytes of batches that this process has written to streams so far.
+std::uint64_t sentPeerBytes();
+
 /// Encodes \a frames as one batch, for tests and fuzzers.
 std::string encodeBatch(const std::vector<Frame> &frames);
 
--- a/src/link/outbox_p.h
+++ b/src/link/outbox_p.h
@@ -6,6 +6,9 @@
 
 namespace buckthornford {
 
+/// Adds to what sentPeerBytes() returns.
+void countSentPeerBytes(std::size_t bytes);
+
 /// Frames that wait for a stream's writer. All that wait go out as one batch.
 class Outbox
 {
@@ -50,6 +53,7 @@
     {
         m_batch.Clear();
         m_batch.Swap(&m_waiting);
+        countSentPeerBytes(m_batch.ByteSizeLong());
         m_writing = true;
         return true;
     }
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -127,6 +127,21 @@
     return flood({rumour}, std::nullopt);
 }
 
+Membership::Sendings Membership::spread(const std::vector<Strike> &strikes,
+                                        const std::optional<InstanceId> &except) const
+{
+    Sendings sendings;
+    for (const PeerRef &peer : neighbours()) {
+        if (peer.instance == except)
+            continue;
+        Gossip gossip;
+        gossip.strikes = strikes;
+        gossip.revision = m_revision;
+        sendings.push_back({peer, std::move(gossip)});
+    }
+    return sendings;
+}
+
 Membership::Sendings Membership::spread(const Configuration &configuration,
                                         const std::optional<InstanceId> &except)
 {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -4,6 +4,7 @@
 
 #include "call/call.h"
 #include "core/core.h"
+#include "poison/poison.h"
 #include "preset/preset.h"
 
 #include <map>
@@ -54,7 +55,8 @@
     std::vector<std::uint64_t> bucketHashes; ///< of the sender's whole table; empty if not told
     bool wantsHashes = false;                ///< answer with your bucket hashes too
     Revision revision;                       ///< newest configuration that the sender has
-    std::string configuration;               ///< JSON text; empty if not sent
+    std::string configuration; ///< JSON text; empty if not sent
+    std::vector<Strike> strikes;
 };
 
 /// The table of members and the decisions on whom to tell what. No socket, no clock.
@@ -92,6 +94,10 @@
     /// A neighbour doesn't answer.
     Sendings suspect(const InstanceId &instance, TimePoint now);
 
+    /// Spreads strikes that were news here, to the neighbours, all but \a except.
+    Sendings spread(const std::vector<Strike> &strikes,
+                    const std::optional<InstanceId> &except) const;
+
     /// Spreads \a configuration to the neighbours, all but \a except.
     Sendings spread(const Configuration &configuration, const std::optional<InstanceId> &except);
 
--- a/src/node/doors_p.h
+++ b/src/node/doors_p.h
@@ -58,6 +58,7 @@
     HttpResponse members();
     HttpResponse change(const HttpRequest &request);
     HttpResponse drain(bool on);
+    HttpResponse releasePoison(const HttpRequest &request);
 
     DoorTasks m_tasks;
 };
--- a/src/node/membership_task.cpp
+++ b/src/node/membership_task.cpp
@@ -13,22 +13,23 @@
     return settings;
 }
 
-LinkClient::Settings linkSettings()
+LinkClient::Settings linkSettings(std::map<std::string, std::string> dial)
 {
     LinkClient::Settings settings;
     // A neighbour is judged by its stream, so it's pinged all the time.
     settings.pingInterval = std::chrono::milliseconds(400);
     settings.silenceLimit = std::chrono::milliseconds(1200);
+    settings.dial = std::move(dial);
     return settings;
 }
 
 } // namespace
 
-MembershipTask::MembershipTask(Member self, std::vector<std::string> seeds, std::uint64_t seed,
+MembershipTask::MembershipTask(Member self, std::vector<std::string> seeds, std::map<std::string, std::string> dial, std::uint64_t seed,
                                Listeners listeners)
     : m_self(self.peer)
     , m_membership(std::move(self), std::move(seeds), membershipSettings(seed))
-    , m_link(m_self, this, linkSettings())
+    , m_link(m_self, this, linkSettings(std::move(dial)))
     , m_listeners(std::move(listeners))
 {}
 
@@ -111,6 +112,12 @@
     acceptConfiguration(message.configuration, std::nullopt, now);
 }
 
+/// The node's task has found these to be news; others hear of them.
+void MembershipTask::on(StrikesArrived &&message, TimePoint now)
+{
+    send(m_membership.spread(message.strikes, message.from), now);
+}
+
 void MembershipTask::on(MembersWanted &&message, TimePoint)
 {
     message.reply->post(m_membership.members());
@@ -129,6 +136,8 @@
         else
             m_link.send(sending.to, sending.gossip, now);
     }
+    if (!gossip.strikes.empty())
+        m_listeners.strikes({gossip.strikes, from.instance});
     if (gossip.configuration.empty() || gossip.revision <= m_membership.revision())
         return;
     const Result<Configuration> configuration = parseConfiguration(gossip.configuration);
--- a/src/node/membership_task_p.h
+++ b/src/node/membership_task_p.h
@@ -3,6 +3,7 @@
 #include "node/messages_p.h"
 
 #include <functional>
+#include <map>
 #include <unordered_map>
 
 namespace buckthornford {
@@ -17,9 +18,11 @@
         std::function<void(ViewChanged)> view;
         std::function<void(ConfigurationArrived)> configuration;
         std::function<void(ReaderChosen)> reader;
+        std::function<void(StrikesArrived)> strikes;
     };
 
-    MembershipTask(Member self, std::vector<std::string> seeds, std::uint64_t seed,
+    MembershipTask(Member self, std::vector<std::string> seeds,
+                   std::map<std::string, std::string> dial, std::uint64_t seed,
                    Listeners listeners);
     ~MembershipTask() override;
 
@@ -44,6 +47,7 @@
     void on(PeerEnded &&message, TimePoint now);
     void on(SelfChanged &&message, TimePoint now);
     void on(ConfigurationArrived &&message, TimePoint now);
+    void on(StrikesArrived &&message, TimePoint now);
     void on(MembersWanted &&message, TimePoint now);
 
     void receive(const PeerRef &from, const Gossip &gossip, FrameSink *replySink, TimePoint now);
--- a/src/node/messages_p.h
+++ b/src/node/messages_p.h
@@ -101,6 +101,13 @@
     Configuration configuration;
 };
 
+/// Strikes from this node's upstream or from other nodes.
+struct StrikesArrived
+{
+    std::vector<Strike> strikes;
+    std::optional<InstanceId> from; ///< who sent them; not set for this node's own
+};
+
 struct DrainWanted
 {
     bool on = true;
@@ -109,7 +116,7 @@
 /// A question from the operators' door; the answer is ready to send.
 struct Question
 {
-    enum class About { Status, Metrics, Spans, Configuration };
+    enum class About { Status, Metrics, Spans, Configuration, Poison };
     About about = About::Status;
     std::shared_ptr<ReplySlot<std::string>> reply;
 };
@@ -117,7 +124,7 @@
 using NodeMessage
         = std::variant<CallBegun, CallerLeft, KeysWanted, ChannelOpened, ChannelFrame,
                        ChannelClosed, PeerFrame, PeerEnded, UpstreamEnded, UpstreamAnnounced,
-                       ViewChanged, ConfigurationArrived, DrainWanted, Question>;
+                       ViewChanged, ConfigurationArrived, StrikesArrived, DrainWanted, Question>;
 
 // Messages to the membership task; it gets the Channel and Peer messages too.
 
@@ -134,7 +141,7 @@
 };
 
 using MembershipMessage = std::variant<ChannelOpened, ChannelFrame, ChannelClosed, PeerFrame,
-                                       PeerEnded, SelfChanged, ConfigurationArrived, MembersWanted>;
+                                       PeerEnded, SelfChanged, ConfigurationArrived, StrikesArrived, MembersWanted>;
 
 // Messages to the platform task.
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -78,11 +78,13 @@
         : settings(nodeSettings)
         , self(selfMember(settings))
         , node(settings, *findPolicy(settings.policy), self.peer,
-               [this](SelfChanged news) { membership.post(std::move(news)); })
-        , membership(self, settings.seeds, settings.seed,
+               {[this](SelfChanged news) { membership.post(std::move(news)); },
+                [this](StrikesArrived news) { membership.post(std::move(news)); }})
+        , membership(self, settings.seeds, settings.dial, settings.seed,
                      {[this](ViewChanged news) { node.post(std::move(news)); },
                       [this](ConfigurationArrived news) { node.post(std::move(news)); },
-                      [this](ReaderChosen news) { platform.post(news); }})
+                      [this](ReaderChosen news) { platform.post(news); },
+                      [this](StrikesArrived news) { node.post(std::move(news)); }})
         , platform(platformEndpoint(settings), settings.spread,
                    [this](ConfigurationArrived news) { membership.post(std::move(news)); })
         , dispatch(&node, &membership)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,6 +5,7 @@
 #include "core/core.h"
 #include "settings/settings.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -23,7 +24,8 @@
     Endpoint peers;                       ///< other nodes' door
     std::string peerAddress;              ///< how others reach the peer door, if not as it listens
     std::vector<std::string> seeds;       ///< peer doors of a few other nodes
-    std::string platform;                 ///< IP:PORT of the table service; empty for none
+    std::map<std::string, std::string> dial; ///< address to dial, by advertised peer address
+    std::string platform; ///< IP:PORT of the table service; empty for none
     std::string policy = "buckthornford"; ///< a row of the policy table
     int callerThreads = 64;
     int upstreamThreads = 64;
--- a/src/node/node_report.cpp
+++ b/src/node/node_report.cpp
@@ -69,6 +69,7 @@
     gauge("record_keys", m_gate.record().size());
     gauge("record_resends_total", m_gate.record().resends());
     gauge("live_nodes", m_memberCount);
+    gauge("peer_bytes_sent_total", sentPeerBytes());
     const Configuration *newest = m_history.newest();
     gauge("configuration_revision", newest == nullptr ? 0 : newest->revision.value());
     return text;
@@ -82,6 +83,16 @@
     return text;
 }
 
+std::string NodeTask::poisonText() const
+{
+    json rows = json::array();
+    for (const PoisonBook::Row &row : m_poison.rows())
+        rows.push_back({{"content", toHex(row.content.value())},
+                        {"crashes", row.crashes},
+                        {"refused", row.isRefused}});
+    return json{{"contents", rows}}.dump();
+}
+
 std::string NodeTask::configurationText() const
 {
     const Configuration *configuration = m_history.newest();
--- a/src/node/node_task.cpp
+++ b/src/node/node_task.cpp
@@ -12,7 +12,8 @@
 constexpr std::size_t maxSpans = 4096;
 constexpr std::uint64_t localChannel = 0;
 
-EntrySettings entrySettings(const NodeSettings &settings, const Policy &policy)
+EntrySettings entrySettings(const NodeSettings &settings, const Policy &policy,
+                            const PoisonBook *poison)
 {
     EntrySettings entry;
     entry.place = {settings.instance, settings.zone, settings.region};
@@ -20,32 +21,43 @@
     entry.keyLife = settings.keyLife;
     entry.seed = settings.seed;
     entry.sampledShare = settings.sampledShare;
+    entry.poison = policy.entry.usesKeys ? poison : nullptr;
     return entry;
 }
 
-GateSettings gateSettings(const NodeSettings &settings, const Policy &policy, const PeerRef &self)
+GateSettings gateSettings(const NodeSettings &settings, const Policy &policy, const PeerRef &self,
+                          const PoisonBook *poison)
 {
     GateSettings gate;
     gate.self = self.instance;
     gate.incarnation = self.incarnation;
     gate.policy = policy.gate;
     gate.record.keyLife = settings.keyLife;
+    gate.poison = policy.gate.keepsRecord ? poison : nullptr;
     return gate;
 }
 
+LinkClient::Settings linkSettings(const NodeSettings &settings)
+{
+    LinkClient::Settings link;
+    link.dial = settings.dial;
+    return link;
+}
+
 } // namespace
 
 NodeTask::NodeTask(const NodeSettings &settings, const Policy &policy, const PeerRef &self,
-                   SelfListener selfListener)
+                   Listeners listeners)
     : m_settings(settings)
     , m_self(self)
-    , m_entry(entrySettings(settings, policy))
-    , m_gate(gateSettings(settings, policy, self))
-    , m_link(self, this, LinkClient::Settings{})
+    , m_poison(PoisonBook::Settings{})
+    , m_entry(entrySettings(settings, policy, &m_poison))
+    , m_gate(gateSettings(settings, policy, self, &m_poison))
+    , m_link(self, this, linkSettings(settings))
     , m_pool([this](UpstreamWorker *worker, UpstreamResult result) {
         post(UpstreamEnded{worker, std::move(result)});
     })
-    , m_selfListener(std::move(selfListener))
+    , m_listeners(std::move(listeners))
     , m_spans(maxSpans)
 {
     m_canceller.start();
@@ -78,6 +90,7 @@
     carryOut(m_entry.tick(now, wall), now);
     carryOut(m_gate.tick(now, wall), now);
     m_link.tick(now);
+    m_poison.expire(now);
     if (m_upstream && now - m_upstream->lastHeard > announcementLife) {
         m_upstream.reset();
         carryOut(m_gate.withdraw(now), now);
@@ -127,8 +140,15 @@
 
 void NodeTask::on(PeerFrame &&message, TimePoint now)
 {
-    if (auto *answer = std::get_if<Answer>(&message.frame))
-        carryOut(m_entry.answer(message.peer, std::move(*answer), now, steadyWallNow()), now);
+    auto *answer = std::get_if<Answer>(&message.frame);
+    if (answer == nullptr)
+        return;
+    // The strike must be known before the entry decides on a retry.
+    if (answer->crash != 0) {
+        if (const Work *work = m_entry.workOf(answer->request))
+            noteCrash(*work, answer->crash, now);
+    }
+    carryOut(m_entry.answer(message.peer, std::move(*answer), now, steadyWallNow()), now);
 }
 
 void NodeTask::on(PeerEnded &&message, TimePoint now)
@@ -150,6 +170,10 @@
     carryOut(std::move(cancelled), now);
     const auto running = m_running.find(id);
     if (running != m_running.end()) {
+        if (message.result.end == UpstreamResult::End::Lost)
+            noteCrash(running->second.run.work, message.result.upstreamStart, now);
+        else if (message.result.end == UpstreamResult::End::Answered)
+            noteCompletion(running->second.run.work, now);
         recordGateSpan(running->second, message.result);
         m_running.erase(running);
     }
@@ -198,6 +222,33 @@
     m_history.accept(std::move(message.configuration));
 }
 
+void NodeTask::on(StrikesArrived &&message, TimePoint now)
+{
+    std::vector<Strike> news;
+    for (const Strike &strike : message.strikes) {
+        if (m_poison.note(strike, now))
+            news.push_back(strike);
+    }
+    if (!news.empty())
+        m_listeners.strikes({std::move(news), message.from});
+}
+
+/// A crash of an upstream is a strike against everything that it was running.
+void NodeTask::noteCrash(const Work &work, std::uint64_t crash, TimePoint now)
+{
+    on(StrikesArrived{{{contentHash(work), crash, false}}, std::nullopt}, now);
+}
+
+/// What completes does not crash upstreams.
+void NodeTask::noteCompletion(const Work &work, TimePoint now)
+{
+    if (m_poison.rows().empty())
+        return;
+    const ContentHash content = contentHash(work);
+    if (m_poison.isSuspect(content))
+        on(StrikesArrived{{{content, randomNumber(), true}}, std::nullopt}, now);
+}
+
 void NodeTask::on(DrainWanted &&message, TimePoint now)
 {
     if (message.on && !m_drainStart)
@@ -212,9 +263,9 @@
 void NodeTask::on(Question &&message, TimePoint)
 {
     using TextFunction = std::string (NodeTask::*)() const;
-    static constexpr std::array<TextFunction, 4> texts{&NodeTask::statusText,
+    static constexpr std::array<TextFunction, 5> texts{&NodeTask::statusText,
                                                        &NodeTask::metricsText, &NodeTask::spansText,
-                                                       &NodeTask::configurationText};
+                                                       &NodeTask::configurationText, &NodeTask::poisonText};
     message.reply->post((this->*texts[static_cast<std::size_t>(message.about)])());
 }
 
@@ -265,12 +316,10 @@
 {
     action.run.trace = action.run.trace.child();
     m_entry.beginExecution(action.execution, action.run, action.deadline);
-    Run bare = action.run;
-    bare.work.body.clear();
-    m_running.insert_or_assign(action.execution, Running{std::move(bare), steadyWallNow()});
+    m_running.insert_or_assign(action.execution, Running{action.run, steadyWallNow()});
     (void)now;
-    m_pool.start({m_upstream->announcement.address, action.execution, std::move(action.run),
-                  action.deadline});
+    m_pool.start({m_upstream->announcement.address, checksum(m_upstream->announcement.startId),
+                  action.execution, std::move(action.run), action.deadline});
 }
 
 void NodeTask::carryOut(CancelExecution &&action, TimePoint now)
@@ -349,7 +398,7 @@
     if (isSame)
         return;
     m_told = news;
-    m_selfListener(news);
+    m_listeners.self(news);
 }
 
 /// Once the news has spread, new work is refused; until then it is served as usual.
--- a/src/node/node_task_p.h
+++ b/src/node/node_task_p.h
@@ -15,10 +15,15 @@
 class NodeTask : public Task<NodeMessage>, private ClientEvents
 {
 public:
-    using SelfListener = std::function<void(SelfChanged)>;
+    /// Whom the task tells of what it learns.
+    struct Listeners
+    {
+        std::function<void(SelfChanged)> self;
+        std::function<void(StrikesArrived)> strikes;
+    };
 
     NodeTask(const NodeSettings &settings, const Policy &policy, const PeerRef &self,
-             SelfListener selfListener);
+             Listeners listeners);
     ~NodeTask() override;
 
 protected:
@@ -33,7 +38,7 @@
     };
     struct Running
     {
-        Run run; ///< without its body
+        Run run;
         WallTime started;
     };
 
@@ -52,6 +57,7 @@
     void on(UpstreamAnnounced &&message, TimePoint now);
     void on(ViewChanged &&message, TimePoint now);
     void on(ConfigurationArrived &&message, TimePoint now);
+    void on(StrikesArrived &&message, TimePoint now);
     void on(DrainWanted &&message, TimePoint now);
     void on(Question &&message, TimePoint now);
 
@@ -65,6 +71,8 @@
     void carryOut(Reply &&action, TimePoint now);
 
     void runHere(const Run &run, ReplyTo from, TimePoint now);
+    void noteCrash(const Work &work, std::uint64_t crash, TimePoint now);
+    void noteCompletion(const Work &work, TimePoint now);
     void recordGateSpan(const Running &running, const UpstreamResult &result);
     void tellSelf();
     void drain(TimePoint now);
@@ -75,16 +83,18 @@
     std::string metricsText() const;
     std::string spansText() const;
     std::string configurationText() const;
+    std::string poisonText() const;
 
     NodeSettings m_settings;
     PeerRef m_self;
+    PoisonBook m_poison;
     Entry m_entry;
     Gate m_gate;
     ConfigurationHistory m_history;
     LinkClient m_link;
     UpstreamPool m_pool;
     UpstreamCanceller m_canceller;
-    SelfListener m_selfListener;
+    Listeners m_listeners;
     std::optional<SelfChanged> m_told;
     std::optional<Upstream> m_upstream;
     std::optional<TimePoint> m_drainStart;
--- a/src/node/operator_door.cpp
+++ b/src/node/operator_door.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace buckthornford {
 
@@ -118,6 +119,14 @@
                   }},
             Route{"POST", "/drain",
                   [](OperatorDoor *door, const HttpRequest &) { return door->drain(true); }},
+            Route{"GET", "/poison",
+                  [](OperatorDoor *door, const HttpRequest &) {
+                      return door->ask(About::Poison, "application/json");
+                  }},
+            Route{"POST", "/poison/release",
+                  [](OperatorDoor *door, const HttpRequest &release) {
+                      return door->releasePoison(release);
+                  }},
             Route{"POST", "/undrain",
                   [](OperatorDoor *door, const HttpRequest &) { return door->drain(false); }},
     };
@@ -186,6 +195,22 @@
     return response;
 }
 
+HttpResponse OperatorDoor::releasePoison(const HttpRequest &request)
+{
+    const auto root = nlohmann::json::parse(request.body, nullptr, false);
+    const std::string text = root.is_object() ? textMember(root, "content") : "";
+    std::uint64_t content = 0;
+    const char *end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, content, 16);
+    if (error != std::errc() || rest != end)
+        return errorResponse(Error::BadDocument, "content", "use the hash that /poison shows");
+    m_tasks.node->post(
+            StrikesArrived{{{ContentHash{content}, randomNumber(), true}}, std::nullopt});
+    HttpResponse response;
+    response.body = nlohmann::json{{"released", text}}.dump() + "\n";
+    return response;
+}
+
 HttpResponse OperatorDoor::drain(bool on)
 {
     m_tasks.node->post(DrainWanted{on});
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -69,6 +69,7 @@
 {
     UpstreamResult result;
     result.execution = job.execution;
+    result.upstreamStart = job.upstreamStart;
     if (!prepareConnection(job, now)) {
         result.end = UpstreamResult::End::NotSent;
         return result;
--- a/src/node/upstream_pool_p.h
+++ b/src/node/upstream_pool_p.h
@@ -15,6 +15,7 @@
 struct UpstreamJob
 {
     Endpoint upstream;
+    std::uint64_t upstreamStart = 0;
     ExecutionId execution;
     Run run;
     TimePoint deadline;
--- /dev/null
+++ b/src/poison/poison.cpp
@@ -0,0 +1,56 @@
+#include "poison/poison.h"
+
+namespace buckthornford {
+
+ContentHash contentHash(const Work &work)
+{
+    constexpr char separator = '\n';
+    std::string text = work.service.value();
+    for (const std::string *part : {&work.operation.value(), &work.method, &work.query, &work.body})
+        text.append(1, separator).append(*part);
+    return ContentHash{checksum(text)};
+}
+
+bool PoisonBook::note(const Strike &strike, TimePoint now)
+{
+    if (m_seen.size() >= m_settings.maxEvents || !m_seen.emplace(strike, now).second)
+        return false;
+    if (strike.isRelease)
+        m_crashes.erase(strike.content);
+    else
+        m_crashes[strike.content].insert(strike.event);
+    return true;
+}
+
+void PoisonBook::expire(TimePoint now)
+{
+    for (auto it = m_seen.begin(); it != m_seen.end();) {
+        if (now - it->second < m_settings.memory) {
+            ++it;
+            continue;
+        }
+        const auto crashes = m_crashes.find(it->first.content);
+        if (crashes != m_crashes.end() && !it->first.isRelease) {
+            crashes->second.erase(it->first.event);
+            if (crashes->second.empty())
+                m_crashes.erase(crashes);
+        }
+        it = m_seen.erase(it);
+    }
+}
+
+bool PoisonBook::isPoisonous(ContentHash content) const
+{
+    const auto found = m_crashes.find(content);
+    return found != m_crashes.end() && found->second.size() >= m_settings.limit;
+}
+
+std::vector<PoisonBook::Row> PoisonBook::rows() const
+{
+    std::vector<Row> rows;
+    for (const auto &[content, crashes] : m_crashes)
+        rows.push_back({content, crashes.size(), crashes.size() >= m_settings.limit});
+    return rows;
+}
+
+} // namespace buckthornford
--- a/src/preset/preset.h
+++ b/src/preset/preset.h
@@ -39,7 +39,7 @@
     PresetName name;
     std::vector<ClassRule> classes;
     Ruling ruling;
-    double shortShare = 0.3;  ///< share of slots that long work leaves to short work
+    double shortShare = 0.5;  ///< share of slots that long work leaves to short work
     double spillShare = 0.1;  ///< share of requests that may leave the region
     double hedgeShare = 0.02; ///< share of idempotent requests that may be hedged
 
