Suspect a node only when a new stream to it fails; keep suspects as last resort

Change: a broken stream is opened anew at once, only a failing one makes a node suspect; suspicion is a flag beside the node's own state, and suspects are still picked where there is no other target.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -321,7 +321,9 @@
                                   bool wasSent, TimePoint now, WallTime wall)
 {
     EntryActions actions;
-    m_router->onUnreachable(peer, now);
+    // After a stream that worked has broken, a new one may work at once.
+    if (!wasSent)
+        m_router->onUnreachable(peer, now);
     std::vector<RequestId> ids;
     for (const auto &[id, call] : m_calls) {
         if (std::any_of(call.open.begin(), call.open.end(),
--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -142,6 +142,7 @@
     encodePeer(member.peer, out->mutable_peer());
     out->set_version(member.version);
     out->set_state(static_cast<std::uint32_t>(member.state));
+    out->set_suspected(member.suspected);
     out->set_service(member.service.value());
     out->set_zone(member.zone.value());
     out->set_region(member.region.value());
@@ -154,10 +155,16 @@
 {
     if (in.state() > static_cast<std::uint32_t>(MemberState::Left) || in.peer().instance().empty())
         return std::nullopt;
-    return Member{
-            decodePeer(in.peer()),     in.version(),         static_cast<MemberState>(in.state()),
-            ServiceName{in.service()}, ZoneName{in.zone()},  RegionName{in.region()},
-            Slots{in.slots()},         in.callers_address(), in.operator_address()};
+    return Member{decodePeer(in.peer()),
+                  in.version(),
+                  static_cast<MemberState>(in.state()),
+                  in.suspected(),
+                  ServiceName{in.service()},
+                  ZoneName{in.zone()},
+                  RegionName{in.region()},
+                  Slots{in.slots()},
+                  in.callers_address(),
+                  in.operator_address()};
 }
 
 void encodeKind(const Gossip &gossip, wire::Frame *frame)
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -10,11 +10,11 @@
 
 constexpr std::size_t readersPerZone = 2;
 
-/// How much a state outweighs others of the same version.
-int severity(MemberState state)
+/// How much news outweighs other news of the same version.
+int severity(const Member &member)
 {
-    static constexpr std::array<int, 6> severities{0, 0, 0, 1, 2, 3};
-    return severities[static_cast<std::size_t>(state)];
+    static constexpr std::array<int, 5> severities{0, 0, 0, 2, 3};
+    return std::max(severities[static_cast<std::size_t>(member.state)], member.suspected ? 1 : 0);
 }
 
 std::uint64_t ringPosition(const InstanceId &instance)
@@ -31,15 +31,20 @@
 
 std::string_view memberStateName(MemberState state)
 {
-    static constexpr std::array<std::string_view, 6> names{"joining", "serving", "leaving",
-                                                           "suspect", "dead",    "left"};
+    static constexpr std::array<std::string_view, 5> names{"joining", "serving", "leaving", "dead",
+                                                           "left"};
     return names[static_cast<std::size_t>(state)];
 }
 
+std::string_view Member::condition() const
+{
+    return suspected && isLive() ? "suspect" : memberStateName(state);
+}
+
 bool supersedes(const Member &a, const Member &b)
 {
     const auto key = [](const Member &member) {
-        return std::tuple(member.peer.incarnation, member.version, severity(member.state));
+        return std::tuple(member.peer.incarnation, member.version, severity(member));
     };
     return key(a) > key(b);
 }
@@ -116,13 +121,21 @@
     return sendings;
 }
 
+Membership::Sendings Membership::greet(const InstanceId &instance) const
+{
+    const auto found = m_others.find(instance);
+    if (found == m_others.end() || !found->second.member.isLive())
+        return {};
+    return {{found->second.member.peer, comparison()}};
+}
+
 Membership::Sendings Membership::suspect(const InstanceId &instance, TimePoint now)
 {
     const auto found = m_others.find(instance);
-    if (found == m_others.end() || found->second.member.state >= MemberState::Suspect)
+    if (found == m_others.end() || found->second.member.suspected || !found->second.member.isLive())
         return {};
     Member rumour = found->second.member;
-    rumour.state = MemberState::Suspect;
+    rumour.suspected = true;
     merge(rumour, now);
     return flood({rumour}, std::nullopt);
 }
@@ -209,7 +222,7 @@
     const auto add = [&hashes](const Member &member) {
         const std::string text
                 = member.peer.instance.value() + '/' + toHex(member.peer.incarnation.value()) + '/'
-                  + std::to_string(member.version) + '/' + std::to_string(severity(member.state));
+                  + std::to_string(member.version) + '/' + std::to_string(severity(member));
         hashes[bucketOf(member.peer.instance)] ^= checksum(text);
     };
     add(m_self);
@@ -261,7 +274,7 @@
 {
     std::vector<Member> died;
     for (const auto &[instance, known] : m_others) {
-        if (known.member.state == MemberState::Suspect
+        if (known.member.suspected && known.member.isLive()
             && now - known.since >= m_settings.suspicion) {
             died.push_back(known.member);
             died.back().state = MemberState::Dead;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -20,9 +20,9 @@
     Joining, ///< no upstream has announced itself yet
     Serving,
     Leaving, ///< finishes what it has, takes nothing new
-    Suspect, ///< said by others: it doesn't answer
-    Dead,    ///< said by others: it didn't answer for long
-    Left,    ///< said by itself before it stopped
+
+    Dead, ///< said by others: it didn't answer for long
+    Left, ///< said by itself before it stopped
 };
 
 std::string_view memberStateName(MemberState state);
@@ -33,6 +33,7 @@
     PeerRef peer;
     std::uint64_t version = 0;
     MemberState state = MemberState::Joining;
+    bool suspected = false; ///< said by others: it doesn't answer
     ServiceName service;
     ZoneName zone;
     RegionName region;
@@ -42,6 +43,9 @@
 
     bool isLive() const { return state < MemberState::Dead; }
     bool isServing() const { return state == MemberState::Serving; }
+
+    /// The state's name, or "suspect".
+    std::string_view condition() const;
     friend bool operator==(const Member &, const Member &) = default;
 };
 
@@ -55,7 +59,7 @@
     std::vector<std::uint64_t> bucketHashes; ///< of the sender's whole table; empty if not told
     bool wantsHashes = false;                ///< answer with your bucket hashes too
     Revision revision;                       ///< newest configuration that the sender has
-    std::string configuration; ///< JSON text; empty if not sent
+    std::string configuration;               ///< JSON text; empty if not sent
     std::vector<Strike> strikes;
 };
 
@@ -91,6 +95,9 @@
     /// reply.
     Sendings receive(const PeerRef &from, const Gossip &gossip, TimePoint now);
 
+    /// A comparison for \a instance, to open a new stream to it; none if it isn't alive.
+    Sendings greet(const InstanceId &instance) const;
+
     /// A neighbour doesn't answer.
     Sendings suspect(const InstanceId &instance, TimePoint now);
 
--- a/src/node/membership_task.cpp
+++ b/src/node/membership_task.cpp
@@ -25,7 +25,8 @@
 
 } // namespace
 
-MembershipTask::MembershipTask(Member self, std::vector<std::string> seeds, std::map<std::string, std::string> dial, std::uint64_t seed,
+MembershipTask::MembershipTask(Member self, std::vector<std::string> seeds,
+                               std::map<std::string, std::string> dial, std::uint64_t seed,
                                Listeners listeners)
     : m_self(self.peer)
     , m_membership(std::move(self), std::move(seeds), membershipSettings(seed))
@@ -98,8 +99,12 @@
 
 void MembershipTask::on(PeerEnded &&message, TimePoint now)
 {
-    if (m_link.forget(message.peer, message.channel))
-        send(m_membership.suspect(message.peer, now), now);
+    if (!m_link.forget(message.peer, message.channel))
+        return;
+    // After a stream that worked has broken, only a failing new one is a reason for suspicion.
+    send(message.wasOpen ? m_membership.greet(message.peer)
+                         : m_membership.suspect(message.peer, now),
+         now);
 }
 
 void MembershipTask::on(SelfChanged &&message, TimePoint now)
--- a/src/node/messages_p.h
+++ b/src/node/messages_p.h
@@ -140,8 +140,9 @@
     std::shared_ptr<ReplySlot<std::vector<Member>>> reply;
 };
 
-using MembershipMessage = std::variant<ChannelOpened, ChannelFrame, ChannelClosed, PeerFrame,
-                                       PeerEnded, SelfChanged, ConfigurationArrived, StrikesArrived, MembersWanted>;
+using MembershipMessage
+        = std::variant<ChannelOpened, ChannelFrame, ChannelClosed, PeerFrame, PeerEnded,
+                       SelfChanged, ConfigurationArrived, StrikesArrived, MembersWanted>;
 
 // Messages to the platform task.
 
--- a/src/node/node_task.cpp
+++ b/src/node/node_task.cpp
@@ -210,8 +210,8 @@
         if (member.isLive())
             directory.push_back({member.peer, member.service});
         if (member.isServing())
-            targets.push_back(
-                    {member.peer, member.service, member.zone, member.region, member.slots});
+            targets.push_back({member.peer, member.service, member.zone, member.region,
+                               member.slots, member.suspected});
     }
     m_memberCount = directory.size();
     m_entry.setView(targets, std::move(directory), now);
@@ -263,9 +263,9 @@
 void NodeTask::on(Question &&message, TimePoint)
 {
     using TextFunction = std::string (NodeTask::*)() const;
-    static constexpr std::array<TextFunction, 5> texts{&NodeTask::statusText,
-                                                       &NodeTask::metricsText, &NodeTask::spansText,
-                                                       &NodeTask::configurationText, &NodeTask::poisonText};
+    static constexpr std::array<TextFunction, 5> texts{
+            &NodeTask::statusText, &NodeTask::metricsText, &NodeTask::spansText,
+            &NodeTask::configurationText, &NodeTask::poisonText};
     message.reply->post((this->*texts[static_cast<std::size_t>(message.about)])());
 }
 
--- a/src/node/operator_door.cpp
+++ b/src/node/operator_door.cpp
@@ -76,7 +76,7 @@
             {"service", member.service.value()},
             {"zone", member.zone.value()},
             {"region", member.region.value()},
-            {"state", memberStateName(member.state)},
+            {"state", member.condition()},
             {"slots", member.slots.value()},
             {"callers", member.callersAddress},
             {"operators", member.operatorAddress},
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -23,6 +23,7 @@
     ZoneName zone;
     RegionName region;
     Slots slots;
+    bool suspected = false; ///< picked only where there is no other
 };
 
 /// Where the picking node is.
--- a/src/routing/tests/test_routing.cpp
+++ b/src/routing/tests/test_routing.cpp
@@ -119,6 +119,13 @@
     BOOST_TEST(isBack);
 }
 
+BOOST_AUTO_TEST_CASE(anUnreachableTargetIsTheLastResort)
+{
+    const auto router = routerWith({target("only", "a", "r")});
+    router->onUnreachable(InstanceId{"only"}, at(10));
+    BOOST_TEST(router->pick(request(), at(20)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(nearTargetsComeFirstAndTheBilledLinkHasABudget)
 {
     const auto router = routerWith({target("near", "a", "r"), target("far", "z", "other")});
--- a/src/routing/two_choices.cpp
+++ b/src/routing/two_choices.cpp
@@ -105,7 +105,9 @@
         State &state = m_states.at(id);
         const bool isExcluded = std::find(request.exclude.begin(), request.exclude.end(), id)
                                 != request.exclude.end();
-        if (!isExcluded && state.unreachableUntil <= now)
+        const bool isLastResort = now == TimePoint::max();
+        const bool isUsable = state.unreachableUntil <= now && !state.target.suspected;
+        if (!isExcluded && (isUsable || isLastResort))
             found.push_back(&state);
     }
     return found;
@@ -174,6 +176,21 @@
     return true;
 }
 
+/// Where no target is thought reachable, the one whose time out ends first.
+TwoChoicesRouter::State *TwoChoicesRouter::lastResort(const Service &service,
+                                                      const PickRequest &request)
+{
+    State *best = nullptr;
+    for (const Reach reach : reaches) {
+        // At the end of time every target counts as reachable again.
+        for (State *state : candidates(service, reach, request, TimePoint::max())) {
+            if (best == nullptr || state->unreachableUntil < best->unreachableUntil)
+                best = state;
+        }
+    }
+    return best;
+}
+
 Result<Pick> TwoChoicesRouter::pick(const PickRequest &request, TimePoint now)
 {
     const auto found = m_services.find(request.service);
@@ -198,6 +215,8 @@
         if (!hasQueue(*fallback, now))
             break;
     }
+    if (fallback == nullptr)
+        fallback = lastResort(service, request);
     if (fallback == nullptr)
         return Error::NoTarget;
     return Pick{fallback->target.peer, fallback->reach};
--- a/src/routing/two_choices_p.h
+++ b/src/routing/two_choices_p.h
@@ -66,6 +66,7 @@
                       TimePoint now) const;
     bool hasQueue(const State &state, TimePoint now) const;
     bool isOverloaded(const State &state, TimePoint now) const;
+    State *lastResort(const Service &service, const PickRequest &request);
     bool maySpill(Service *service, const PickRequest &request);
 
     Place m_place;
