--- /dev/null
+++ b/fuzz/fuzz_key.cpp
@@ -0,0 +1,13 @@
+#include "execution/execution.h"
+
+#include <cstdlib>
+
+/// An idempotency key from a caller.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string_view text(reinterpret_cast<const char *>(data), size);
+    const auto key = buckthornford::ExecutionKey::parse(text);
+    if (key && key.value().toText() != text)
+        std::abort();
+    return 0;
+}
