Read as a newcomer: split the entry, write shared pieces once

Change: attempts.cpp; fromHex() in core; call/headers.h; toNeighbours(); outbox.cpp. A key or trace now has to be exactly what is written for it.

--- a/programs/load/shooter.cpp
+++ b/programs/load/shooter.cpp
@@ -1,5 +1,7 @@
 #include "load/shooter.h"
 
+#include "call/call.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -15,7 +17,7 @@
 
 Outcome outcomeFromHeader(const HttpResponse &response)
 {
-    const std::string *text = findHeader(response.headers, "Buckthornford-Outcome");
+    const std::string *text = findHeader(response.headers, outcomeHeader);
     if (text == nullptr && response.status == statusOk) // An upstream, called directly.
         return Outcome::Completed;
     if (text == nullptr) // A door refused the request itself.
@@ -30,7 +32,7 @@
 /// Judges whether a completed answer is whole and belongs to the request.
 AnswerFault judge(const HttpResponse &response, const std::string &nonce, std::size_t size)
 {
-    const std::string *sum = findHeader(response.headers, "Buckthornford-Checksum");
+    const std::string *sum = findHeader(response.headers, checksumHeader);
     if (sum != nullptr && *sum != toHex(checksum(response.body)))
         return AnswerFault::Cut;
     const auto body = nlohmann::json::parse(response.body, nullptr, false);
@@ -106,11 +108,11 @@
     request.method = kind.method;
     request.path = (kind.isDirect ? "/" : "/call/" + kind.service + "/") + kind.operation;
     const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(kind.timeout);
-    request.headers = {{"Request-Class", kind.className},
-                       {"Request-Caller", kind.caller},
-                       {"Request-Timeout", std::to_string(timeout.count())}};
+    request.headers = {{classHeader, kind.className},
+                       {callerHeader, kind.caller},
+                       {timeoutHeader, std::to_string(timeout.count())}};
     if (!key.empty())
-        request.headers.emplace_back("Idempotency-Key", key);
+        request.headers.emplace_back(keyHeader, key);
     if (kind.isIdempotent()) {
         request.query = "nonce=" + nonce + "&size=" + std::to_string(kind.answerBytes);
         if (kind.crashes)
@@ -141,9 +143,9 @@
         return record;
     }
     record.outcome = outcomeFromHeader(response.value());
-    if (const std::string *reason = findHeader(response.value().headers, "Buckthornford-Reason"))
+    if (const std::string *reason = findHeader(response.value().headers, reasonHeader))
         record.reason = *reason;
-    if (const std::string *text = findHeader(response.value().headers, "Buckthornford-Attempts")) {
+    if (const std::string *text = findHeader(response.value().headers, attemptsHeader)) {
         std::uint32_t attempts = 0;
         std::from_chars(text->data(), text->data() + text->size(), attempts);
         result->attempts += attempts;
--- a/programs/upstream/service.cpp
+++ b/programs/upstream/service.cpp
@@ -1,5 +1,6 @@
 #include "upstream/service.h"
 
+#include "call/call.h"
 #include "telemetry/telemetry.h"
 
 #include <nlohmann/json.hpp>
@@ -15,9 +16,7 @@
 constexpr Duration defaultTimeout = std::chrono::seconds(10);
 constexpr int crashStatus = 134;
 constexpr std::string_view cancelPrefix = "/buckthornford/cancel/";
-constexpr char contextHeader[] = "Buckthornford-Context";
-constexpr char timeoutHeader[] = "Request-Timeout";
-constexpr char notRunHeader[] = "Execution-Not-Run";
+
 
 std::string headerOr(const HttpRequest &request, const char *header, const std::string &otherwise)
 {
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -2,6 +2,7 @@
 
 /// The messages between an entry node and a target's node, as plain values without encoding.
 
+#include "call/headers.h"
 #include "core/core.h"
 #include "telemetry/span.h"
 
@@ -85,6 +86,9 @@
     bool failedForGood = false; ///< a call further down failed in a way that will repeat
 };
 
+/// An answer of the entry itself, for a call without attempts left.
+Answer refusal(RequestId request, Error reason, bool retryable);
+
 /// An answer that says the work did not run.
 Answer refusal(const Run &run, Error reason, bool retryable);
 
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <random>
 
@@ -46,6 +47,16 @@
     return {text.data(), hexDigits};
 }
 
+std::optional<std::uint64_t> fromHex(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const char *end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, value, 16);
+    if (error != std::errc() || rest != end)
+        return std::nullopt;
+    return value;
+}
+
 std::uint64_t randomNumber()
 {
     thread_local std::mt19937_64 generator{[] {
--- /dev/null
+++ b/src/entry/attempts.cpp
@@ -0,0 +1,234 @@
+#include "entry/entry.h"
+
+#include <algorithm>
+
+namespace buckthornford {
+
+namespace {
+
+/// Taken off the deadline that a target's node is told, so that its truthful refusal still
+/// arrives in time.
+constexpr Duration answerMargin = std::chrono::milliseconds(5);
+
+} // namespace
+
+PickRequest Entry::pickRequest(const Call &call) const
+{
+    return {call.work.service, call.work.operation, call.rank, call.tried, call.spillShare};
+}
+
+void Entry::sendFirst(Call *call, EntryActions *actions, TimePoint now, WallTime wall)
+{
+    if (call->work.idempotent || !m_settings.policy.usesKeys)
+        call->work.key.clear();
+    if (call->work.key.empty()) {
+        call->ownKey = !call->work.idempotent && m_settings.policy.usesKeys;
+        sendToAny(call, actions, now, wall);
+        return;
+    }
+    const Result<ExecutionKey> key = ExecutionKey::parse(call->work.key);
+    if (!key) {
+        finishRefused(call, Error::BadKey, Outcome::NotRun, actions, now, wall);
+        return;
+    }
+    const DirectoryEntry *home = lookUp(key.value().home);
+    if (home != nullptr && home->service != call->work.service) {
+        finishRefused(call, Error::BadKey, Outcome::NotRun, actions, now, wall);
+        return;
+    }
+    if (home == nullptr || home->peer.incarnation != key.value().incarnation) {
+        finishRefused(call, Error::HomeGone, Outcome::Unknown, actions, now, wall);
+        return;
+    }
+    send(call, home->peer, actions, now);
+}
+
+void Entry::sendToAny(Call *call, EntryActions *actions, TimePoint now, WallTime wall)
+{
+    const Result<Pick> pick = m_router->pick(pickRequest(*call), now);
+    if (!pick) {
+        finishRefused(call, errorOf(pick.error()), Outcome::NotRun, actions, now, wall);
+        return;
+    }
+    const PeerRef &peer = pick.value().peer;
+    if (call->ownKey)
+        call->work.key
+                = makeKey(peer.instance, peer.incarnation, wall, m_settings.keyLife).toText();
+    send(call, peer, actions, now);
+}
+
+std::optional<PeerRef> Entry::alternateFor(const Call &call, const PeerRef &target, TimePoint now)
+{
+    // Without a token the key could not be followed, and "not run" would not be certain.
+    if (call.work.key.empty() || call.ownKey || call.budget.tokens() == Tokens{0})
+        return std::nullopt;
+    PickRequest request = pickRequest(call);
+    request.exclude.push_back(target.instance);
+    const Result<Pick> pick = m_router->pick(request, now);
+    return pick ? std::optional(pick.value().peer) : std::nullopt;
+}
+
+void Entry::send(Call *call, const PeerRef &peer, EntryActions *actions, TimePoint now)
+{
+    const bool hasCallersKey = !call->work.key.empty() && !call->ownKey;
+    Run run;
+    run.request = call->id;
+    run.work = call->work;
+    run.attempt = AttemptNumber{++call->attempts};
+    run.timeLeft = call->deadline - now - answerMargin;
+    run.age = now - call->entered;
+    const bool keepsLast = hasCallersKey && call->budget.tokens() == Tokens{1};
+    run.budget = keepsLast ? Tokens{0} : call->budget.lend();
+    run.depth = call->depth;
+    run.revision = call->revision;
+    run.trace = call->trace;
+    run.alternate = alternateFor(*call, peer, now);
+    call->open.push_back(Attempt{run.attempt, peer, now, run.budget});
+    call->tried.push_back(peer.instance);
+    m_router->onSent(peer.instance, now);
+    actions->emplace_back(SendRun{peer, std::move(run)});
+}
+
+EntryActions Entry::answer(const InstanceId &from, Answer answer, TimePoint now, WallTime wall)
+{
+    EntryActions actions;
+    const auto found = m_calls.find(answer.request);
+    if (found == m_calls.end())
+        return actions; // Late: the call has ended.
+    Call &call = found->second;
+    const auto attempt = std::find_if(call.open.begin(), call.open.end(), [&](const Attempt &open) {
+        return open.number == answer.attempt && open.peer.instance == from;
+    });
+    if (attempt == call.open.end())
+        return actions; // Late or crossed: that attempt has ended.
+    const Attempt ended = *attempt;
+    call.open.erase(attempt);
+    call.budget.giveBack(std::min(answer.budgetLeft, ended.lent));
+    if (!isWhole(answer)) {
+        answer.outcome = Outcome::Unknown;
+        answer.reason = Error::AnswerCut;
+        answer.retryable = true;
+    }
+    m_router->onReport(from, answer.load, now);
+    call.queueWait += answer.queueWait;
+    endAttempt(&call, ended, std::move(answer), true, &actions, now, wall);
+    return actions;
+}
+
+void Entry::endAttempt(Call *call, const Attempt &attempt, Answer answer, bool wasSent,
+                       EntryActions *actions, TimePoint now, WallTime wall)
+{
+    const bool answered = answer.outcome == Outcome::Completed;
+    m_router->onEnd(attempt.peer.instance, call->work.operation, now - attempt.sent, answered, now);
+    const DirectoryEntry *home = lookUp(attempt.peer.instance);
+    AttemptEnd end{answer.outcome, answer.reason, answer.retryable, call->work.idempotent,
+                   call->ownKey};
+    end.sameHomeLives = wasSent && home != nullptr && home->peer == attempt.peer;
+    goOn(call, m_settings.policy.chooseRetry(end), attempt, std::move(answer), actions, now, wall);
+}
+
+bool Entry::isPoisonous(const Work &work) const
+{
+    return m_settings.poison != nullptr && m_settings.poison->isPoisonous(contentHash(work));
+}
+
+bool Entry::mayRetry(Call *call, RetryChoice choice)
+{
+    if (m_settings.policy.fixedRetries)
+        return call->attempts <= m_settings.policy.fixedRetries->value();
+    if (isPoisonous(call->work))
+        return false;
+    // A moved key has to be followed, or "not run" would not be certain.
+    const bool isFree = choice == RetryChoice::FollowKey;
+    if (call->budget.tokens() == Tokens{0} || (!isFree && !m_ratio.spend(call->work.caller)))
+        return false;
+    return call->budget.spend();
+}
+
+void Entry::goOn(Call *call, RetryChoice choice, const Attempt &attempt, Answer answer,
+                 EntryActions *actions, TimePoint now, WallTime wall)
+{
+    const bool waitsForOther = answer.outcome != Outcome::Completed && !call->open.empty();
+    if (waitsForOther)
+        return;
+    const bool isLate = call->deadline <= now + answerMargin;
+    if (choice == RetryChoice::Stop || isLate || !mayRetry(call, choice)) {
+        finish(call, std::move(answer), actions, now, wall);
+        return;
+    }
+    if (choice == RetryChoice::FollowKey) {
+        call->work.key = answer.movedKey;
+        sendFirst(call, actions, now, wall);
+        return;
+    }
+    if (choice == RetryChoice::RetrySame) {
+        send(call, attempt.peer, actions, now);
+        return;
+    }
+    // What ran and failed may be tried again where it failed, if there is no other target.
+    if (answer.outcome != Outcome::NotRun && !m_router->pick(pickRequest(*call), now))
+        call->tried.clear();
+    if (m_router->pick(pickRequest(*call), now))
+        sendToAny(call, actions, now, wall);
+    else
+        finish(call, std::move(answer), actions, now, wall);
+}
+
+EntryActions Entry::endAttemptsOn(const InstanceId &peer, Outcome outcome, Error reason,
+                                  bool wasSent, TimePoint now, WallTime wall)
+{
+    EntryActions actions;
+    // After a stream that worked has broken, a new one may work at once.
+    if (!wasSent)
+        m_router->onUnreachable(peer, now);
+    std::vector<RequestId> ids;
+    for (const auto &[id, call] : m_calls) {
+        if (std::any_of(call.open.begin(), call.open.end(),
+                        [&peer](const Attempt &open) { return open.peer.instance == peer; }))
+            ids.push_back(id);
+    }
+    for (const RequestId id : ids) {
+        Call &call = m_calls.at(id);
+        const auto attempt
+                = std::find_if(call.open.begin(), call.open.end(),
+                               [&peer](const Attempt &open) { return open.peer.instance == peer; });
+        const Attempt ended = *attempt;
+        call.open.erase(attempt);
+        Answer answer = refusal(id, reason, true);
+        answer.outcome = outcome;
+        const bool hasCallersKey = !call.work.key.empty() && !call.ownKey;
+        if (!wasSent) {
+            call.budget.giveBack(ended.lent);
+            // Another entry may have brought the same key to its home.
+            if (hasCallersKey)
+                answer.outcome = Outcome::Unknown;
+        }
+        endAttempt(&call, ended, std::move(answer), true, &actions, now, wall);
+    }
+    return actions;
+}
+
+EntryActions Entry::peerLost(const InstanceId &peer, TimePoint now, WallTime wall)
+{
+    return endAttemptsOn(peer, Outcome::Unknown, Error::AnswerLost, true, now, wall);
+}
+
+EntryActions Entry::peerUnreachable(const InstanceId &peer, TimePoint now, WallTime wall)
+{
+    return endAttemptsOn(peer, Outcome::NotRun, Error::TargetUnreachable, false, now, wall);
+}
+
+void Entry::hedge(Call *call, EntryActions *actions, TimePoint now)
+{
+    const bool mayHedge
+            = call->open.size() == 1 && m_hedgeCredit >= 1.0 && call->budget.tokens() > Tokens{0};
+    if (!mayHedge)
+        return;
+    const Result<Pick> pick = m_router->pick(pickRequest(*call), now);
+    if (!pick || !m_ratio.spend(call->work.caller) || !call->budget.spend())
+        return;
+    m_hedgeCredit -= 1.0;
+    send(call, pick.value().peer, actions, now);
+}
+
+} // namespace buckthornford
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -183,7 +183,6 @@
     void startTimers(const Call &call, TimePoint now);
     void sendFirst(Call *call, EntryActions *actions, TimePoint now, WallTime wall);
     void sendToAny(Call *call, EntryActions *actions, TimePoint now, WallTime wall);
-    void sendToKeyHome(Call *call, EntryActions *actions, TimePoint now);
     void send(Call *call, const PeerRef &peer, EntryActions *actions, TimePoint now);
     std::optional<PeerRef> alternateFor(const Call &call, const PeerRef &target, TimePoint now);
     void hedge(Call *call, EntryActions *actions, TimePoint now);
--- a/src/execution/execution.cpp
+++ b/src/execution/execution.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
+
 #include <utility>
 
 namespace buckthornford {
@@ -16,12 +16,7 @@
 /// Clocks of entry and home may differ; a key may look this much younger than it is.
 constexpr Duration clockAllowance = std::chrono::seconds(10);
 
-bool parseHex(std::string_view text, std::uint64_t *value)
-{
-    const char *end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data(), end, *value, 16);
-    return error == std::errc() && rest == end;
-}
+
 
 /// Splits \a text into exactly keyParts parts.
 std::optional<std::array<std::string_view, keyParts>> splitKey(std::string_view text)
@@ -64,17 +59,18 @@
     const auto parts = splitKey(text);
     if (!parts || (*parts)[0] != keyPrefix || (*parts)[1].empty())
         return Error::BadKey;
-    std::uint64_t incarnation = 0;
-    std::uint64_t expires = 0;
-    std::uint64_t nonce = 0;
-    std::uint64_t sum = 0;
-    if (!parseHex((*parts)[2], &incarnation) || !parseHex((*parts)[3], &expires)
-        || !parseHex((*parts)[4], &nonce) || !parseHex((*parts)[5], &sum))
+    const auto incarnation = fromHex((*parts)[2]);
+    const auto expires = fromHex((*parts)[3]);
+    const auto nonce = fromHex((*parts)[4]);
+    const auto sum = fromHex((*parts)[5]);
+    if (!incarnation || !expires || !nonce || !sum)
         return Error::BadKey;
-    if (checksum(text.substr(0, text.rfind(keySeparator))) != sum)
+    const ExecutionKey key{InstanceId{std::string((*parts)[1])}, Incarnation{*incarnation},
+                           WallTime{static_cast<std::int64_t>(*expires)}, *nonce};
+    // The text must be the one that toText() writes, checksum included.
+    if (checksum(text.substr(0, text.rfind(keySeparator))) != *sum || key.toText() != text)
         return Error::BadKey;
-    return ExecutionKey{InstanceId{std::string((*parts)[1])}, Incarnation{incarnation},
-                        WallTime{static_cast<std::int64_t>(expires)}, nonce};
+    return key;
 }
 
 ExecutionKey makeKey(const InstanceId &home, Incarnation incarnation, WallTime now, Duration life)
--- a/src/link/client.cpp
+++ b/src/link/client.cpp
@@ -52,11 +52,7 @@
 
 namespace {
 
-ChannelId nextChannel()
-{
-    static std::atomic<std::uint64_t> last{0};
-    return ChannelId{++last};
-}
+
 
 std::shared_ptr<grpc::Channel> createChannel(const std::string &address)
 {
--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -1,8 +1,6 @@
 #include "link/codec_p.h"
 
-#include "link/outbox_p.h"
 
-#include <atomic>
 
 namespace buckthornford {
 
@@ -243,21 +241,7 @@
     return std::nullopt;
 }
 
-namespace {
-
-std::atomic<std::uint64_t> sentBytes{0};
 
-} // namespace
-
-void countSentPeerBytes(std::size_t bytes)
-{
-    sentBytes.fetch_add(bytes, std::memory_order_relaxed);
-}
-
-std::uint64_t sentPeerBytes()
-{
-    return sentBytes.load(std::memory_order_relaxed);
-}
 
 std::string encodeBatch(const std::vector<Frame> &frames)
 {
--- a/src/link/outbox_p.h
+++ b/src/link/outbox_p.h
@@ -9,6 +9,9 @@
 /// Adds to what sentPeerBytes() returns.
 void countSentPeerBytes(std::size_t bytes);
 
+/// A number for a new stream.
+ChannelId nextChannel();
+
 /// Frames that wait for a stream's writer. All that wait go out as one batch.
 class Outbox
 {
--- a/src/link/server.cpp
+++ b/src/link/server.cpp
@@ -12,11 +12,7 @@
 
 namespace {
 
-ChannelId nextChannel()
-{
-    static std::atomic<std::uint64_t> last{0};
-    return ChannelId{++last};
-}
+
 
 /// Counts the streams that gRPC has not ended yet; gRPC's shutdown doesn't wait for OnDone.
 class StreamCount
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -143,14 +143,19 @@
 Membership::Sendings Membership::spread(const std::vector<Strike> &strikes,
                                         const std::optional<InstanceId> &except) const
 {
+    Gossip gossip;
+    gossip.strikes = strikes;
+    return toNeighbours(std::move(gossip), except);
+}
+
+Membership::Sendings Membership::toNeighbours(Gossip gossip,
+                                              const std::optional<InstanceId> &except) const
+{
+    gossip.revision = m_revision;
     Sendings sendings;
     for (const PeerRef &peer : neighbours()) {
-        if (peer.instance == except)
-            continue;
-        Gossip gossip;
-        gossip.strikes = strikes;
-        gossip.revision = m_revision;
-        sendings.push_back({peer, std::move(gossip)});
+        if (peer.instance != except)
+            sendings.push_back({peer, gossip});
     }
     return sendings;
 }
@@ -159,16 +164,9 @@
                                         const std::optional<InstanceId> &except)
 {
     setRevision(configuration.revision, toJsonText(configuration));
-    Sendings sendings;
-    for (const PeerRef &peer : neighbours()) {
-        if (peer.instance == except)
-            continue;
-        Gossip gossip;
-        gossip.revision = m_revision;
-        gossip.configuration = m_configuration;
-        sendings.push_back({peer, std::move(gossip)});
-    }
-    return sendings;
+    Gossip gossip;
+    gossip.configuration = m_configuration;
+    return toNeighbours(std::move(gossip), except);
 }
 
 void Membership::setRevision(Revision revision, std::string configuration)
@@ -248,16 +246,9 @@
 Membership::Sendings Membership::flood(const std::vector<Member> &news,
                                        const std::optional<InstanceId> &except) const
 {
-    Sendings sendings;
-    for (const PeerRef &peer : neighbours()) {
-        if (peer.instance == except)
-            continue;
-        Gossip gossip;
-        gossip.members = news;
-        gossip.revision = m_revision;
-        sendings.push_back({peer, std::move(gossip)});
-    }
-    return sendings;
+    Gossip gossip;
+    gossip.members = news;
+    return toNeighbours(std::move(gossip), except);
 }
 
 Gossip Membership::comparison() const
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -137,6 +137,7 @@
     void refute(const Member &rumour);
     std::vector<std::uint64_t> bucketHashes() const;
     std::vector<Member> membersInDiffering(const std::vector<std::uint64_t> &theirs) const;
+    Sendings toNeighbours(Gossip gossip, const std::optional<InstanceId> &except) const;
     Sendings flood(const std::vector<Member> &news, const std::optional<InstanceId> &except) const;
     Gossip comparison() const;
     void ageOut(TimePoint now, std::vector<Member> *news);
--- a/src/node/call_door.cpp
+++ b/src/node/call_door.cpp
@@ -1,11 +1,10 @@
 #include "node/doors_p.h"
-#include "node/headers_p.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
+
 
 namespace buckthornford {
 
@@ -98,12 +97,10 @@
     const std::string *found = findHeader(request.headers, contextHeader);
     if (found == nullptr)
         return std::nullopt;
-    std::uint64_t id = 0;
-    const char *end = found->data() + found->size();
-    const auto [rest, error] = std::from_chars(found->data(), end, id, 16);
-    if (error != std::errc() || rest != end)
+    const auto id = fromHex(*found);
+    if (!id)
         return Fault{Error::MalformedHeader, contextHeader};
-    call->parent = ExecutionId{id};
+    call->parent = ExecutionId{*id};
     return std::nullopt;
 }
 
--- a/src/node/operator_door.cpp
+++ b/src/node/operator_door.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
+
 
 namespace buckthornford {
 
@@ -199,13 +199,11 @@
 {
     const auto root = nlohmann::json::parse(request.body, nullptr, false);
     const std::string text = root.is_object() ? textMember(root, "content") : "";
-    std::uint64_t content = 0;
-    const char *end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data(), end, content, 16);
-    if (error != std::errc() || rest != end)
+    const auto content = fromHex(text);
+    if (!content)
         return errorResponse(Error::BadDocument, "content", "use the hash that /poison shows");
     m_tasks.node->post(
-            StrikesArrived{{{ContentHash{content}, randomNumber(), true}}, std::nullopt});
+            StrikesArrived{{{ContentHash{*content}, randomNumber(), true}}, std::nullopt});
     HttpResponse response;
     response.body = nlohmann::json{{"released", text}}.dump() + "\n";
     return response;
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -1,6 +1,5 @@
 #include "node/upstream_pool_p.h"
 
-#include "node/headers_p.h"
 
 namespace buckthornford {
 
--- a/src/telemetry/span.cpp
+++ b/src/telemetry/span.cpp
@@ -1,6 +1,6 @@
 #include "telemetry/telemetry.h"
 
-#include <charconv>
+
 
 namespace buckthornford {
 
@@ -9,12 +9,7 @@
 constexpr std::size_t hexLength = 16;
 constexpr std::size_t headerLength = 55; // "00-" 32 "-" 16 "-" 2
 
-bool parseHex(std::string_view text, std::uint64_t *value)
-{
-    const char *end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data(), end, *value, 16);
-    return error == std::errc() && rest == end;
-}
+
 
 nlohmann::json attribute(std::string_view key, nlohmann::json value)
 {
@@ -47,19 +42,19 @@
 
 Result<TraceContext> TraceContext::parse(std::string_view header)
 {
-    TraceContext context;
-    std::uint64_t flags = 0;
     const bool hasShape = header.size() == headerLength && header.starts_with("00-")
-                          && header[35] == '-' && header[52] == '-';
-    if (!hasShape || !parseHex(header.substr(3, hexLength), &context.traceHigh)
-        || !parseHex(header.substr(19, hexLength), &context.traceLow)
-        || !parseHex(header.substr(36, hexLength), &context.span)
-        || !parseHex(header.substr(53, 2), &flags))
+            && header[35] == '-' && header[52] == '-';
+    if (!hasShape)
+        return Error::MalformedHeader;
+    const auto traceHigh = fromHex(header.substr(3, hexLength));
+    const auto traceLow = fromHex(header.substr(19, hexLength));
+    const auto span = fromHex(header.substr(36, hexLength));
+    const auto flags = fromHex(header.substr(53, 2));
+    if (!traceHigh || !traceLow || !span || !flags)
         return Error::MalformedHeader;
-    if ((context.traceHigh | context.traceLow) == 0 || context.span == 0)
+    if ((*traceHigh | *traceLow) == 0 || *span == 0)
         return Error::MalformedHeader;
-    context.sampled = (flags & 1U) != 0;
-    return context;
+    return TraceContext{*traceHigh, *traceLow, *span, (*flags & 1U) != 0};
 }
 
 std::string TraceContext::toHeader() const
