Give the gate's span its parent

Cause: ctl trace showed each gate as a tree of its own; the new test of ctl failed with indents 0 0 2 0 in place of 0 2 4 6. Change: the parent's span id is kept when the run's trace is replaced. Conclusion: a request of two hops is one tree of four spans; the test passes.

--- a/src/node/call_door.cpp
+++ b/src/node/call_door.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 
-
 namespace buckthornford {
 
 namespace {
--- a/src/node/node_task.cpp
+++ b/src/node/node_task.cpp
@@ -314,9 +314,10 @@
 
 void NodeTask::carryOut(StartExecution &&action, TimePoint now)
 {
+    const std::uint64_t parentSpan = action.run.trace.span;
     action.run.trace = action.run.trace.child();
     m_entry.beginExecution(action.execution, action.run, action.deadline);
-    m_running.insert_or_assign(action.execution, Running{action.run, steadyWallNow()});
+    m_running.insert_or_assign(action.execution, Running{action.run, parentSpan, steadyWallNow()});
     (void)now;
     m_pool.start({m_upstream->announcement.address, checksum(m_upstream->announcement.startId),
                   action.execution, std::move(action.run), action.deadline});
@@ -360,6 +361,7 @@
     const Run &run = running.run;
     Span span;
     span.context = run.trace;
+    span.parent = running.parentSpan;
     span.name = "gate";
     span.start = running.started;
     span.end = steadyWallNow();
--- a/src/node/node_task_p.h
+++ b/src/node/node_task_p.h
@@ -39,6 +39,7 @@
     struct Running
     {
         Run run;
+        std::uint64_t parentSpan = 0; ///< of the entry that sent it
         WallTime started;
     };
 
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -1,6 +1,5 @@
 #include "node/upstream_pool_p.h"
 
-
 namespace buckthornford {
 
 namespace {
