Spend less on keeping streams alive; take the upstreams' load reports

The stand-in sent no load reports. Change: neighbours are pinged each second, silent after 2.5 s; seeds are not pinged; tries of seeds and the dead are bounded for the fleet. Announcements may carry a load, which only makes an instance look worse; the stand-in reports honestly, late, low, high or not at all.

--- a/programs/upstream/announcer.h
+++ b/programs/upstream/announcer.h
@@ -2,12 +2,16 @@
 
 #include "http/http.h"
 #include "task/task.h"
+#include "upstream/workshop.h"
 
 #include <optional>
 #include <string>
 
 namespace buckthornford {
 
+/// Returns whether \a name is a row of the table of reports.
+bool isReportName(std::string_view name);
+
 /// The upstream wants to leave; \a drained is told when it may stop.
 struct LeaveWanted
 {
@@ -24,6 +28,8 @@
         Endpoint self;
         std::string service;
         std::uint32_t slots = 1;
+        std::string report = "honest"; ///< a row of the table of reports
+        Workshop *workshop = nullptr;
     };
 
     explicit Announcer(Settings settings);
@@ -34,6 +40,9 @@
     TimePoint tick(TimePoint now) override;
 
 private:
+    /// What the upstream claims to have in progress; negative to say nothing.
+    std::int64_t claimedLoad();
+
     /// Returns whether the node said that the upstream is drained.
     bool announce();
 
@@ -42,6 +51,7 @@
     std::optional<HttpConnection> m_connection;
     std::shared_ptr<ReplySlot<bool>> m_drained;
     bool m_wasHeard = true;
+    std::deque<std::int64_t> m_pastLoads; ///< newest last
 };
 
 } // namespace buckthornford
--- a/programs/upstream/main.cpp
+++ b/programs/upstream/main.cpp
@@ -17,6 +17,7 @@
 DEFINE_string(next, "", "service that each execution calls; empty for none");
 DEFINE_string(fan_out, "1", "calls to the next service");
 DEFINE_string(long_factor, "50", "cost of operations whose name starts with long");
+DEFINE_string(report, "honest", "how it reports its load: honest, late, low, high or none");
 DEFINE_string(cold_seconds, "0", "seconds of cold start");
 DEFINE_string(threads, "256", "connections served at once");
 DEFINE_string(seed, "1", "seed of random service times");
@@ -48,6 +49,7 @@
         SettingRule{"next", optionalName, "a service name or nothing"},
         SettingRule{"fan_out", wholeNumber<1, 100>, "1 to 100"},
         SettingRule{"long_factor", wholeNumber<1, 1000>, "1 to 1000"},
+        SettingRule{"report", isReportName, "honest, late, low, high or none"},
         SettingRule{"cold_seconds", wholeNumber<0, 3600>, "0 to 3600"},
         SettingRule{"threads", wholeNumber<1, 2000>, "1 to 2000"},
         SettingRule{"seed", wholeNumber<0, INT64_MAX>, "a whole number from 0"},
@@ -83,11 +85,12 @@
 }
 
 /// Announces until a stop signal, then until the node says that nothing is in flight.
-void announceUntilStopped(const Endpoint &self)
+void announceUntilStopped(const Endpoint &self, Workshop *workshop)
 {
     const bool hasNode = !FLAGS_node.empty();
     Announcer announcer({hasNode ? parseEndpoint(FLAGS_node).value() : Endpoint{}, self,
-                         FLAGS_service, static_cast<std::uint32_t>(std::stoul(FLAGS_slots))});
+                         FLAGS_service, static_cast<std::uint32_t>(std::stoul(FLAGS_slots)),
+                         FLAGS_report, workshop});
     if (hasNode)
         announcer.start();
     waitForStopSignal();
@@ -123,7 +126,7 @@
         return 1;
     }
     logEvent(LogLevel::Info, "started", {{"listen", FLAGS_listen}, {"service", FLAGS_service}});
-    announceUntilStopped(http.endpoint);
+    announceUntilStopped(http.endpoint, &workshop);
     logEvent(LogLevel::Info, "stopped");
     return 0;
 }
--- a/programs/upstream/service.cpp
+++ b/programs/upstream/service.cpp
@@ -17,7 +17,6 @@
 constexpr int crashStatus = 134;
 constexpr std::string_view cancelPrefix = "/buckthornford/cancel/";
 
-
 std::string headerOr(const HttpRequest &request, const char *header, const std::string &otherwise)
 {
     const std::string *found = findHeader(request.headers, header);
--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr Duration reportLife = std::chrono::seconds(2);
 constexpr int firstClientError = 400;
 constexpr int firstServerError = 500;
 
@@ -49,6 +50,12 @@
     m_hasUpstream = true;
 }
 
+void Gate::reportLoad(std::uint32_t executions, TimePoint now)
+{
+    m_reportedLoad = executions;
+    m_reportTime = now;
+}
+
 GateActions Gate::withdraw(TimePoint)
 {
     GateActions actions;
@@ -282,6 +289,8 @@
 GateActions Gate::tick(TimePoint now, WallTime wall)
 {
     GateActions actions;
+    if (now - m_reportTime > reportLife)
+        m_reportedLoad = 0;
     m_limiter->tick(m_inFlight, now);
     m_record.expire(wall);
     if (m_settings.policy.dropsHopeless) {
@@ -296,7 +305,8 @@
 
 LoadReport Gate::load() const
 {
-    return {m_inFlight, m_limiter->limit().value(), static_cast<std::uint32_t>(m_queue.size())};
+    return {std::max(m_inFlight, m_reportedLoad), m_limiter->limit().value(),
+            static_cast<std::uint32_t>(m_queue.size())};
 }
 
 std::uint64_t Gate::shedCount(Rank rank) const
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -90,6 +90,10 @@
     /// The upstream is there and has \a slots; \a isNew if it has started anew.
     void announce(Slots slots, bool isNew, TimePoint now);
 
+    /// The upstream says that it has \a executions in progress. Such reports come late and may
+    /// mislead, so they only ever make the load that others are told look worse, for a while.
+    void reportLoad(std::uint32_t executions, TimePoint now);
+
     /// The upstream is gone; queued work is refused, running work ends by its own.
     GateActions withdraw(TimePoint now);
 
@@ -147,6 +151,8 @@
     Revision m_rulingRevision;
     std::uint64_t m_nextExecution;
     std::uint32_t m_inFlight = 0;
+    std::uint32_t m_reportedLoad = 0;
+    TimePoint m_reportTime;
     bool m_hasUpstream = false;
     bool m_draining = false;
 };
--- a/src/gate/tests/test_gate.cpp
+++ b/src/gate/tests/test_gate.cpp
@@ -184,6 +184,19 @@
     BOOST_TEST(gate.isIdle());
 }
 
+BOOST_AUTO_TEST_CASE(aReportOnlyMakesTheLoadLookWorse)
+{
+    Gate gate = makeGate(fixedPolicy);
+    gate.announce(Slots{4}, true, at(0));
+    gate.run(makeRun(1, "high"), replyTo(1), preset(), at(1), wall);
+    gate.reportLoad(0, at(2));
+    BOOST_TEST(gate.load().inFlight == 1);
+    gate.reportLoad(9, at(3));
+    BOOST_TEST(gate.load().inFlight == 9);
+    gate.tick(at(4000), wall);
+    BOOST_TEST(gate.load().inFlight == 1);
+}
+
 BOOST_AUTO_TEST_CASE(fastFailuresDoNotLowerTheLimit)
 {
     Gate gate = makeGate({}, 100);
--- a/src/link/client.cpp
+++ b/src/link/client.cpp
@@ -52,8 +52,6 @@
 
 namespace {
 
-
-
 std::shared_ptr<grpc::Channel> createChannel(const std::string &address)
 {
     grpc::ChannelArguments arguments;
@@ -252,13 +250,16 @@
         const bool isOpen = stream.stream->isOpen();
         const TimePoint heard = std::max(stream.opened, stream.stream->lastReceived());
         const Duration limit = isOpen ? m_settings.silenceLimit : m_settings.connectLimit;
-        const bool isIdle = now - stream.lastSent > m_settings.idleLimit;
+        // A seed is asked now and then; pings of the whole fleet would wear it down.
+        const bool isSeed = stream.peer.incarnation == Incarnation{0};
+        const Duration idleLimit = isSeed ? m_settings.seedIdleLimit : m_settings.idleLimit;
+        const bool isIdle = now - stream.lastSent > idleLimit;
         if (now - heard > limit || isIdle) {
             stream.isAbandoned = true;
             stream.stream->abandon();
             continue;
         }
-        if (isOpen && now - stream.lastPing >= m_settings.pingInterval) {
+        if (isOpen && !isSeed && now - stream.lastPing >= m_settings.pingInterval) {
             stream.lastPing = now;
             stream.stream->post(Ping{});
         }
--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -1,7 +1,5 @@
 #include "link/codec_p.h"
 
-
-
 namespace buckthornford {
 
 namespace {
@@ -241,8 +239,6 @@
     return std::nullopt;
 }
 
-
-
 std::string encodeBatch(const std::vector<Frame> &frames)
 {
     wire::Batch batch;
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -96,7 +96,8 @@
         Duration connectLimit{std::chrono::milliseconds(1000)}; ///< until the peer greets
         Duration silenceLimit{std::chrono::milliseconds(1000)}; ///< without a frame or pong
         Duration pingInterval{std::chrono::milliseconds(300)};
-        Duration idleLimit{std::chrono::seconds(30)}; ///< without a frame sent
+        Duration seedIdleLimit{std::chrono::milliseconds(900)}; ///< as idleLimit, to a seed
+        Duration idleLimit{std::chrono::seconds(30)};           ///< without a frame sent
         std::map<std::string, std::string> dial; ///< address to dial, by advertised address
     };
 
--- a/src/link/server.cpp
+++ b/src/link/server.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-
-
 /// Counts the streams that gRPC has not ended yet; gRPC's shutdown doesn't wait for OnDone.
 class StreamCount
 {
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t readersPerZone = 2;
+constexpr std::size_t fleetReachOuts = 20; ///< in each Membership::Settings::rejoin
 
 /// How much news outweighs other news of the same version.
 int severity(const Member &member)
@@ -283,6 +284,10 @@
 /// Tries a seed and a dead member: a cut may have healed.
 void Membership::reachOut(Sendings *sendings)
 {
+    // Some tries of the whole fleet do; each node's share of them falls as the fleet grows.
+    const std::size_t fleet = m_others.size() + 1;
+    if (m_random() % fleet >= fleetReachOuts)
+        return;
     std::vector<PeerRef> lost;
     for (const auto &[instance, known] : m_others) {
         if (known.member.state == MemberState::Dead)
--- a/src/node/call_door.cpp
+++ b/src/node/call_door.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::int64_t maxTimeoutMilliseconds = 3'600'000;
+constexpr std::uint64_t maxReportedLoad = 1'000'000;
 constexpr std::int64_t maxKeysAtOnce = 1000;
 constexpr std::size_t maxKeyLength = 256;
 constexpr Duration callerCheckInterval = std::chrono::milliseconds(50);
@@ -214,14 +215,23 @@
     const bool hasSlots = slots != root.end() && slots->is_number_unsigned()
                           && slots->get<std::uint64_t>() >= 1
                           && slots->get<std::uint64_t>() <= 100'000;
+    const auto load = root.find("load");
+    const bool hasLoad = load != root.end();
+    const bool isLoadGood
+            = !hasLoad
+              || (load->is_number_unsigned() && load->get<std::uint64_t>() <= maxReportedLoad);
     if (!name(announcement.service.value()))
         *field = "service";
     else if (!address)
         *field = "address";
     else if (!hasSlots)
         *field = "slots";
+    else if (!isLoadGood)
+        *field = "load";
     if (!field->empty())
         return Error::BadSetting;
+    if (hasLoad)
+        announcement.load = load->get<std::uint32_t>();
     announcement.address = address.value();
     announcement.slots = Slots{slots->get<std::uint32_t>()};
     return announcement;
--- a/src/node/membership_task.cpp
+++ b/src/node/membership_task.cpp
@@ -17,8 +17,8 @@
 {
     LinkClient::Settings settings;
     // A neighbour is judged by its stream, so it's pinged all the time.
-    settings.pingInterval = std::chrono::milliseconds(400);
-    settings.silenceLimit = std::chrono::milliseconds(1200);
+    settings.pingInterval = std::chrono::milliseconds(1000);
+    settings.silenceLimit = std::chrono::milliseconds(2500);
     settings.dial = std::move(dial);
     return settings;
 }
--- a/src/node/messages_p.h
+++ b/src/node/messages_p.h
@@ -81,6 +81,7 @@
     ServiceName service;
     Endpoint address;
     Slots slots;
+    std::optional<std::uint32_t> load; ///< executions in progress, if it says
     bool isLeaving = false;
     std::string startId; ///< changes when the upstream starts anew
 };
--- a/src/node/node_task.cpp
+++ b/src/node/node_task.cpp
@@ -198,6 +198,8 @@
     }
     m_upstream = Upstream{news, now};
     m_gate.announce(news.slots, isNew, now);
+    if (news.load)
+        m_gate.reportLoad(*news.load, now);
     message.drained->post(isDrained(now));
     tellSelf();
 }
