--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -190,8 +190,8 @@
 
 int trace(const CommandContext &context)
 {
-    const std::size_t count =
-            printTrace(std::cout, collectSpans(*context.client), context.arguments[0]);
+    const std::size_t count
+            = printTrace(std::cout, collectSpans(*context.client), context.arguments[0]);
     if (count > 0)
         return exitOk;
     std::cerr << "no node keeps a span of trace " << context.arguments[0] << '\n';
@@ -244,7 +244,8 @@
         Command{"undrain", "", "take work again", 0, undrain},
         Command{"poison list", "", "contents that ran during crashes of upstreams", 0, poisonList},
         Command{"poison release", "CONTENT", "let a refused content run again", 1, poisonRelease},
-        Command{"trace", "TRACE", "one request as a tree, from the spans that nodes keep", 1, trace},
+        Command{"trace", "TRACE", "one request as a tree, from the spans that nodes keep", 1,
+                trace},
         Command{"top", "", "live view of the fleet; one view if not on a terminal", 0, top},
         Command{"metrics", "", "metrics in the text exposition format", 0, metrics},
 };
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -75,7 +75,7 @@
     Tokens budgetLeft;
     LoadReport load;
     Duration queueWait{0};
-    bool replayed = false; ///< from the record of an earlier run
+    bool replayed = false;   ///< from the record of an earlier run
     std::uint64_t crash = 0; ///< with Error::UpstreamLost: id of the upstream's start
 };
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -77,7 +77,7 @@
     Duration keyLife{std::chrono::seconds(60)};
     Depth maxDepth{16};
     std::uint64_t seed = 1;
-    double sampledShare = 0.01; ///< of the traces that start here
+    double sampledShare = 0.01;         ///< of the traces that start here
     const PoisonBook *poison = nullptr; ///< contents that are refused; none if not set
 };
 
--- a/src/execution/execution.cpp
+++ b/src/execution/execution.cpp
@@ -16,8 +16,6 @@
 /// Clocks of entry and home may differ; a key may look this much younger than it is.
 constexpr Duration clockAllowance = std::chrono::seconds(10);
 
-
-
 /// Splits \a text into exactly keyParts parts.
 std::optional<std::array<std::string_view, keyParts>> splitKey(std::string_view text)
 {
--- a/src/telemetry/span.cpp
+++ b/src/telemetry/span.cpp
@@ -1,7 +1,5 @@
 #include "telemetry/telemetry.h"
 
-
-
 namespace buckthornford {
 
 namespace {
@@ -9,8 +7,6 @@
 constexpr std::size_t hexLength = 16;
 constexpr std::size_t headerLength = 55; // "00-" 32 "-" 16 "-" 2
 
-
-
 nlohmann::json attribute(std::string_view key, nlohmann::json value)
 {
     return {{"key", key}, {"value", std::move(value)}};
@@ -43,7 +39,7 @@
 Result<TraceContext> TraceContext::parse(std::string_view header)
 {
     const bool hasShape = header.size() == headerLength && header.starts_with("00-")
-            && header[35] == '-' && header[52] == '-';
+                          && header[35] == '-' && header[52] == '-';
     if (!hasShape)
         return Error::MalformedHeader;
     const auto traceHigh = fromHex(header.substr(3, hexLength));
