--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <fstream>
 #include <iostream>
+#include <limits>
 #include <optional>
 #include <sstream>
 #include <thread>
@@ -206,7 +207,8 @@
     FleetView before = readFleet(*context.client);
     if (before.members.empty())
         return refuse(context, context.client->read("/members"));
-    do {
+    const int views = isTerminal ? std::numeric_limits<int>::max() : 1;
+    for (int view = 0; view < views; ++view) {
         std::this_thread::sleep_for(interval);
         FleetView now = readFleet(*context.client);
         if (isTerminal)
@@ -214,7 +216,7 @@
         printTop(std::cout, before, now, std::chrono::duration<double>(interval).count());
         std::cout.flush();
         before = std::move(now);
-    } while (isTerminal);
+    }
     return exitOk;
 }
 
--- a/src/admission/tests/test_admission.cpp
+++ b/src/admission/tests/test_admission.cpp
@@ -39,6 +39,7 @@
                                                rc::gen::inRange(0, 50), rc::gen::inRange(0, 3))),
                         [](const auto &rows) {
                             std::vector<Claim> result;
+                            result.reserve(rows.size());
                             for (const auto &[rank, entered, deadline, name] : rows)
                                 result.push_back(
                                         makeClaim(result.size(), rank, entered, deadline, name));
--- a/src/link/client.cpp
+++ b/src/link/client.cpp
@@ -178,7 +178,7 @@
 LinkClient::LinkClient(PeerRef self, ClientEvents *events, Settings settings)
     : m_self(std::move(self))
     , m_events(events)
-    , m_settings(settings)
+    , m_settings(std::move(settings))
     , m_ended(std::make_shared<Ended>())
 {}
 
--- a/src/routing/tests/test_routing.cpp
+++ b/src/routing/tests/test_routing.cpp
@@ -29,6 +29,7 @@
 std::vector<Target> sixTargets()
 {
     std::vector<Target> targets;
+    targets.reserve(6);
     for (int i = 0; i < 6; ++i)
         targets.push_back(target("t" + std::to_string(i), "a", "r"));
     return targets;
@@ -160,6 +161,7 @@
 BOOST_AUTO_TEST_CASE(eachNodeUsesABoundedSubset)
 {
     std::vector<Target> many;
+    many.reserve(200);
     for (int i = 0; i < 200; ++i)
         many.push_back(target("t" + std::to_string(i), "a", "r"));
     const auto router = routerWith(many);
