Never run a request elsewhere when an earlier attempt may have run it

Cause: found by reading. A request with a key of the entry's own was delivered, its stream broke, the second send to the same home found no connection, and that was taken as 'not run': a new key was made at another home. A frozen home could still run the first send, so the work could run twice. Ruled out: the home's own refusals; its record knows the first send. Change: a call remembers that an attempt ended without a known outcome; an unsent attempt after that ends unknown. Conclusion: at most once holds for keys of the entry as well.

--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -119,6 +119,7 @@
                        EntryActions *actions, TimePoint now, WallTime wall)
 {
     const bool answered = answer.outcome == Outcome::Completed;
+    call->mayHaveRun = call->mayHaveRun || answer.outcome == Outcome::Unknown;
     m_router->onEnd(attempt.peer.instance, call->work.operation, now - attempt.sent, answered, now);
     const DirectoryEntry *home = lookUp(attempt.peer.instance);
     AttemptEnd end{answer.outcome, answer.reason, answer.retryable, call->work.idempotent,
@@ -199,8 +200,8 @@
         const bool hasCallersKey = !call.work.key.empty() && !call.ownKey;
         if (!wasSent) {
             call.budget.giveBack(ended.lent);
-            // Another entry may have brought the same key to its home.
-            if (hasCallersKey)
+            // Another entry, or an attempt before, may have brought the same key to its home.
+            if (hasCallersKey || call.mayHaveRun)
                 answer.outcome = Outcome::Unknown;
         }
         endAttempt(&call, ended, std::move(answer), true, &actions, now, wall);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -153,6 +153,7 @@
         Depth depth;
         ChainBudget budget;
         bool ownKey = false;
+        bool mayHaveRun = false; ///< an attempt ended without a known outcome
         std::optional<ExecutionId> parent;
         TraceContext trace;
         std::uint64_t parentSpan = 0;
--- a/src/entry/tests/test_entry.cpp
+++ b/src/entry/tests/test_entry.cpp
@@ -219,6 +219,24 @@
     BOOST_TEST(SmallEntry::find<SendCancel>(actions) != nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(whatMayHaveArrivedBeforeIsNotRunElsewhereWhenItsHomeCannotBeReached)
+{
+    SmallEntry small;
+    auto actions = small.entry.begin(RequestId{1}, small.request(false), small.history, small.now,
+                                     small.wall);
+    const SendRun first = *SmallEntry::find<SendRun>(actions);
+    actions = small.entry.peerLost(first.to.instance, small.now, small.wall);
+    BOOST_REQUIRE(SmallEntry::find<SendRun>(actions) != nullptr);
+    // The second send finds no connection; the first may be running all the same.
+    actions = small.entry.peerUnreachable(first.to.instance, small.now, small.wall);
+    for (const EntryAction &action : actions) {
+        if (const auto *sent = std::get_if<SendRun>(&action))
+            BOOST_TEST((sent->to == first.to && sent->run.work.key == first.run.work.key));
+        if (const auto *finish = std::get_if<FinishCall>(&action))
+            BOOST_TEST((finish->result.answer.outcome == Outcome::Unknown));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(anUnsentAttemptIsNotRun)
 {
     SmallEntry small;
