--- a/src/call/call.h
+++ b/src/call/call.h
@@ -34,6 +34,8 @@
     std::string key; ///< idempotency key; empty if none
     std::string contentType;
     std::string body;
+    std::string target;  ///< request target as the caller sent it; empty if made from operation
+    HttpHeaders headers; ///< end-to-end fields to pass on
 };
 
 /// Asks a target's node to run work.
@@ -75,8 +77,12 @@
     Tokens budgetLeft;
     LoadReport load;
     Duration queueWait{0};
+    Duration serviceTime{0}; ///< at the upstream; 0 if it was not asked
     bool replayed = false;   ///< from the record of an earlier run
     std::uint64_t crash = 0; ///< with Error::UpstreamLost: id of the upstream's start
+    HttpHeaders headers;     ///< end-to-end fields of the upstream's answer
+    bool wasOffered = false; ///< the upstream got the request, whatever became of it
+    Duration retryAfter{0};  ///< with Outcome::NotRun: when to come again; 0 if unknown
 };
 
 /// What the part of the chain below an execution left behind.
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -4,6 +4,7 @@
 
 #include "core/error.h"
 #include "core/hash.h"
+#include "core/headers.h"
 #include "core/ids.h"
 #include "core/outcome.h"
 #include "core/units.h"
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -46,6 +46,8 @@
     Cancelled,
     UpstreamAbsent,
     DoorBusy,
+    NoConfiguration,
+    NoRoute,
     // Failures during or after the work.
     UpstreamFailed,
     UpstreamLost,
--- a/src/core/units.h
+++ b/src/core/units.h
@@ -29,6 +29,12 @@
 /// that it never steps back within a process.
 WallTime steadyWallNow();
 
+/// Returns \a factor times \a duration.
+constexpr Duration scaled(Duration duration, double factor)
+{
+    return Duration{static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor)};
+}
+
 /// Returns \a duration in milliseconds with a fraction.
 constexpr double toMilliseconds(Duration duration)
 {
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -10,6 +10,21 @@
 /// arrives in time.
 constexpr Duration answerMargin = std::chrono::milliseconds(5);
 
+/// What the end of an attempt tells of its target.
+AttemptReport::End endFor(const Answer &answer)
+{
+    switch (answer.outcome) {
+    case Outcome::Completed:
+        return AttemptReport::End::Answered;
+    case Outcome::NotRun:
+        return answer.wasOffered ? AttemptReport::End::Failed : AttemptReport::End::Refused;
+    case Outcome::Failed:
+    case Outcome::Unknown:
+        return AttemptReport::End::Failed;
+    }
+    return AttemptReport::End::Failed;
+}
+
 } // namespace
 
 PickRequest Entry::pickRequest(const Call &call) const
@@ -75,6 +90,8 @@
     run.request = call->id;
     run.work = call->work;
     run.attempt = AttemptNumber{++call->attempts};
+    if (call->attempts > 1)
+        ++m_retries;
     run.timeLeft = call->deadline - now - answerMargin;
     run.age = now - call->entered;
     const bool keepsLast = hasCallersKey && call->budget.tokens() == Tokens{1};
@@ -118,9 +135,13 @@
 void Entry::endAttempt(Call *call, const Attempt &attempt, Answer answer, bool wasSent,
                        EntryActions *actions, TimePoint now, WallTime wall)
 {
-    const bool answered = answer.outcome == Outcome::Completed;
     call->mayHaveRun = call->mayHaveRun || answer.outcome == Outcome::Unknown;
-    m_router->onEnd(attempt.peer.instance, call->work.operation, now - attempt.sent, answered, now);
+    m_router->onEnd(
+            attempt.peer.instance,
+            {call->work.operation, attempt.sent, now - attempt.sent,
+             answer.serviceTime > Duration{0} ? answer.queueWait + answer.serviceTime : Duration{0},
+             endFor(answer)},
+            now);
     const DirectoryEntry *home = lookUp(attempt.peer.instance);
     AttemptEnd end{answer.outcome, answer.reason, answer.retryable, call->work.idempotent,
                    call->ownKey};
@@ -133,15 +154,19 @@
     return m_settings.poison != nullptr && m_settings.poison->isPoisonous(contentHash(work));
 }
 
-bool Entry::mayRetry(Call *call, RetryChoice choice)
+bool Entry::mayRetry(Call *call, RetryChoice choice, bool wasOffered)
 {
+    if (!wasOffered && call->freePlacements < m_settings.policy.freePlacements) {
+        ++call->freePlacements;
+        return true;
+    }
     if (m_settings.policy.fixedRetries)
         return call->attempts <= m_settings.policy.fixedRetries->value();
     if (isPoisonous(call->work))
         return false;
     // A moved key has to be followed, or "not run" would not be certain.
     const bool isFree = choice == RetryChoice::FollowKey;
-    if (call->budget.tokens() == Tokens{0} || (!isFree && !m_ratio.spend(call->work.caller)))
+    if (call->budget.tokens() == Tokens{0} || (!isFree && !m_ratio.spend(ratioScope(*call))))
         return false;
     return call->budget.spend();
 }
@@ -149,11 +174,13 @@
 void Entry::goOn(Call *call, RetryChoice choice, const Attempt &attempt, Answer answer,
                  EntryActions *actions, TimePoint now, WallTime wall)
 {
+    if (answer.outcome == Outcome::Failed)
+        call->failure = answer;
     const bool waitsForOther = answer.outcome != Outcome::Completed && !call->open.empty();
     if (waitsForOther)
         return;
     const bool isLate = call->deadline <= now + answerMargin;
-    if (choice == RetryChoice::Stop || isLate || !mayRetry(call, choice)) {
+    if (choice == RetryChoice::Stop || isLate || !mayRetry(call, choice, answer.wasOffered)) {
         finish(call, std::move(answer), actions, now, wall);
         return;
     }
@@ -226,7 +253,7 @@
     if (!mayHedge)
         return;
     const Result<Pick> pick = m_router->pick(pickRequest(*call), now);
-    if (!pick || !m_ratio.spend(call->work.caller) || !call->budget.spend())
+    if (!pick || !m_ratio.spend(ratioScope(*call)) || !call->budget.spend())
         return;
     m_hedgeCredit -= 1.0;
     send(call, pick.value().peer, actions, now);
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -95,7 +95,7 @@
             = request.trace.value_or(TraceContext::create(isSampled(m_settings.sampledShare)));
     call->parentSpan = trace.span;
     call->trace = trace.child();
-    m_ratio.recordRequest(call->work.caller);
+    m_ratio.recordRequest(ratioScope(*call));
     return std::nullopt;
 }
 
@@ -185,10 +185,28 @@
     finish(call, std::move(answer), actions, now, wall);
 }
 
-void Entry::finish(Call *call, Answer answer, EntryActions *actions, TimePoint, WallTime wall)
+const std::string &Entry::ratioScope(const Call &call) const
 {
-    for (const Attempt &open : call->open)
+    return m_settings.policy.ratioPerService ? call.work.service.value() : call.work.caller.value();
+}
+
+void Entry::finish(Call *call, Answer answer, EntryActions *actions, TimePoint now, WallTime wall)
+{
+    for (const Attempt &open : call->open) {
         actions->emplace_back(SendCancel{open.peer, call->id, open.number});
+        const bool isLate = call->deadline <= now && answer.outcome != Outcome::Completed;
+        m_router->onEnd(open.peer.instance,
+                        {call->work.operation, open.sent, now - open.sent, Duration{0},
+                         isLate ? AttemptReport::End::Late : AttemptReport::End::Dropped},
+                        now);
+    }
+    if (call->failure && answer.outcome != Outcome::Completed
+        && answer.outcome != Outcome::Failed) {
+        // The upstream's own failure tells the caller more than that no more could be done.
+        answer = *std::move(call->failure);
+    }
+    if (answer.outcome == Outcome::NotRun && (call->mayHaveRun || !call->open.empty()))
+        answer.outcome = Outcome::Unknown;
     const auto chain = call->parent ? m_chains.find(*call->parent) : m_chains.end();
     if (chain != m_chains.end()) {
         chain->second.budget.giveBack(call->budget.tokens());
@@ -214,8 +232,10 @@
     span.outcome = answer.outcome;
     span.reason = answer.reason;
     answer.retryable = false;
-    actions->emplace_back(FinishCall{
-            call->id, {std::move(answer), AttemptNumber{call->attempts}, std::move(span)}});
+    actions->emplace_back(FinishCall{call->id,
+                                     {std::move(answer), AttemptNumber{call->attempts},
+                                      std::move(span), now - call->entered,
+                                      call->tried.empty() ? InstanceId{} : call->tried.back()}});
     m_calls.erase(call->id);
 }
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -35,6 +35,8 @@
     Answer answer;
     AttemptNumber attempts; ///< sent, hedges included
     Span span;
+    Duration duration{0};  ///< since the request entered
+    InstanceId lastTarget; ///< of the last attempt, if there was one
 };
 
 struct SendRun
@@ -67,6 +69,10 @@
     std::optional<Tokens> fixedRetries; ///< at each hop, in place of the chain's budget
     bool hedges = true;
     bool usesKeys = true;
+    /// Times that a request may be placed anew after a target's node refused it unsent; such a
+    /// refusal costs no retry.
+    std::uint32_t freePlacements = 0;
+    bool ratioPerService = false; ///< in place of one for each caller
 };
 
 struct EntrySettings
@@ -129,6 +135,12 @@
 
     std::size_t openCalls() const { return m_calls.size(); }
 
+    /// Sets the share of retries for what is saved from now on.
+    void setRatio(const RetryRatio::Settings &ratio) { m_ratio.set(ratio); }
+
+    /// Attempts that went out after the first of their call.
+    std::uint64_t retryCount() const { return m_retries; }
+
     /// Returns the work of an open call or nullptr.
     const Work *workOf(RequestId id) const;
 
@@ -161,6 +173,8 @@
         std::vector<Attempt> open;
         std::vector<InstanceId> tried;
         std::uint32_t attempts = 0;
+        std::uint32_t freePlacements = 0; ///< used so far
+        std::optional<Answer> failure;    ///< of the upstream, in case nothing better comes
         Duration queueWait{0};
     };
     struct Chain
@@ -191,7 +205,8 @@
                     EntryActions *actions, TimePoint now, WallTime wall);
     void goOn(Call *call, RetryChoice choice, const Attempt &attempt, Answer answer,
               EntryActions *actions, TimePoint now, WallTime wall);
-    bool mayRetry(Call *call, RetryChoice choice);
+    bool mayRetry(Call *call, RetryChoice choice, bool wasOffered);
+    const std::string &ratioScope(const Call &call) const;
     bool isPoisonous(const Work &work) const;
     void finish(Call *call, Answer answer, EntryActions *actions, TimePoint now, WallTime wall);
     void finishRefused(Call *call, Error reason, Outcome outcome, EntryActions *actions,
@@ -209,6 +224,7 @@
     std::unordered_map<ExecutionId, Chain> m_chains;
     std::multimap<TimePoint, Timer> m_timers;
     double m_hedgeCredit = 0.0;
+    std::uint64_t m_retries = 0;
 };
 
 } // namespace buckthornford
--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -20,12 +20,13 @@
 };
 
 /// In the order of UpstreamResult::End; Answered depends on the status too.
-constexpr std::array<EndRow, 6> endRows{EndRow{Outcome::Completed, Error::None, false},
+constexpr std::array<EndRow, 7> endRows{EndRow{Outcome::Completed, Error::None, false},
                                         EndRow{Outcome::NotRun, Error::Shed, true},
                                         EndRow{Outcome::NotRun, Error::UpstreamAbsent, true},
                                         EndRow{Outcome::Unknown, Error::UpstreamLost, true},
                                         EndRow{Outcome::Unknown, Error::AnswerCut, true},
-                                        EndRow{Outcome::Unknown, Error::AnswerLost, false}};
+                                        EndRow{Outcome::Unknown, Error::AnswerLost, false},
+                                        EndRow{Outcome::Unknown, Error::Cancelled, false}};
 
 std::uint64_t requestHash(const Run &run)
 {
@@ -65,6 +66,31 @@
     return actions;
 }
 
+GateActions Gate::refuseWaiting(Error reason)
+{
+    GateActions actions;
+    for (const Claim &claim : m_queue.removeIf([](const Claim &) { return true; }))
+        refuse(claim.execution, reason, true, &actions);
+    return actions;
+}
+
+GateActions Gate::cancelChannel(std::uint64_t channel, TimePoint now)
+{
+    GateActions actions;
+    std::vector<ReplyTo> open;
+    for (auto it = m_byReply.lower_bound({channel, {}, {}});
+         it != m_byReply.end() && it->first.channel == channel; ++it) {
+        const Execution &execution = m_executions.at(it->second);
+        if (execution.run.work.idempotent || !execution.isRunning)
+            open.push_back(it->first);
+    }
+    for (const ReplyTo &from : open) {
+        GateActions cancelled = cancel(from, now);
+        std::move(cancelled.begin(), cancelled.end(), std::back_inserter(actions));
+    }
+    return actions;
+}
+
 bool Gate::usesRecord(const Run &run) const
 {
     return m_settings.policy.keepsRecord && !run.work.key.empty();
@@ -117,6 +143,9 @@
                         now, {},   now + run.timeLeft};
     execution.isLong = m_settings.policy.reservesShort && m_costs.isLong(run.work.operation);
     execution.shortShare = preset.shortShare;
+    execution.patience = TimePoint::max();
+    if (rule != nullptr && rule->objective > Duration{0} && m_settings.policy.patienceShare > 0.0)
+        execution.patience = now + scaled(rule->objective, m_settings.policy.patienceShare);
     const auto reason = refusalReason(execution, now);
     m_byReply[from] = id;
     const auto &stored = m_executions.emplace(id, std::move(execution)).first->second;
@@ -172,13 +201,15 @@
     }
 }
 
-void Gate::refuse(ExecutionId id, Error reason, bool retryable, GateActions *actions)
+void Gate::refuse(ExecutionId id, Error reason, bool retryable, GateActions *actions,
+                  bool wasOffered)
 {
     auto node = m_executions.extract(id);
     const Execution &execution = node.mapped();
     const Run &run = execution.run;
     ++m_shed[execution.rank];
     Answer answer = refusal(run, reason, retryable);
+    answer.wasOffered = wasOffered;
     if (retryable && run.alternate && usesRecord(run)) {
         const Result<ExecutionKey> key = ExecutionKey::parse(run.work.key);
         const PeerRef &next = *run.alternate;
@@ -254,12 +285,15 @@
         answer.retryable = run.work.idempotent && !chain.failedForGood;
     }
     answer.status = result.status;
-    if (result.end == UpstreamResult::End::Lost)
+    if (result.hasCrashed)
         answer.crash = result.upstreamStart;
+    answer.wasOffered = result.end != UpstreamResult::End::NotSent;
+    answer.headers = std::move(result.headers);
     answer.contentType = std::move(result.contentType);
     answer.body = std::move(result.body);
     answer.bodyChecksum = checksum(answer.body);
     answer.budgetLeft = chain.budgetLeft;
+    answer.serviceTime = result.latency;
     answer.queueWait = execution.started - execution.arrived;
     return answer;
 }
@@ -278,7 +312,7 @@
         const Error reason = endRows[static_cast<std::size_t>(result.end)].reason;
         const ExecutionId id = result.execution;
         m_executions.insert(std::move(node));
-        refuse(id, reason, true, &actions);
+        refuse(id, reason, true, &actions, result.end == UpstreamResult::End::Shed);
     } else {
         settle(execution, answerOf(execution, std::move(result), chain), &actions);
     }
@@ -293,6 +327,11 @@
         m_reportedLoad = 0;
     m_limiter->tick(m_inFlight, now);
     m_record.expire(wall);
+    const auto impatient = m_queue.removeIf([this, now](const Claim &claim) {
+        return m_executions.at(claim.execution).patience <= now;
+    });
+    for (const Claim &claim : impatient)
+        refuse(claim.execution, Error::QueueFull, true, &actions);
     if (m_settings.policy.dropsHopeless) {
         const auto hopeless = m_queue.removeIf(
                 [this, now](const Claim &claim) { return isHopeless(claim, now); });
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -26,6 +26,8 @@
     bool keepsRecord = true;   ///< keyed requests run at most once
     bool dropsHopeless = true; ///< what can't meet its deadline never takes a slot
     bool reservesShort = true; ///< long work leaves slots to short work
+    /// Share of the class's objective for which a request may wait here; 0 for no bound.
+    double patienceShare = 0.0;
 };
 
 struct GateSettings
@@ -38,16 +40,26 @@
     const PoisonBook *poison = nullptr; ///< contents that are refused; none if not set
 };
 
+/// What an upstream says of its load.
+struct UpstreamLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+    double slowness = 1.0; ///< how long work takes there now, 1 as usual
+};
+
 /// How an execution ended at the upstream.
 struct UpstreamResult
 {
     enum class End {
-        Answered, ///< a whole answer, whatever its status
-        Shed,     ///< refused by the upstream before it ran
-        NotSent,  ///< the connection could not be opened, so nothing was sent
-        Lost,     ///< the connection broke after the request was sent
-        Cut,      ///< the answer broke off
-        TimedOut, ///< no answer before the deadline
+        Answered,  ///< a whole answer, whatever its status
+        Shed,      ///< refused by the upstream before it ran
+        NotSent,   ///< the connection could not be opened, so nothing was sent
+        Lost,      ///< the connection broke after the request was sent
+        Cut,       ///< the answer broke off
+        TimedOut,  ///< no answer before the deadline
+        Cancelled, ///< given up at this node's wish
     };
 
     ExecutionId execution;
@@ -57,6 +69,9 @@
     std::string body;
     Duration latency{0};
     std::uint64_t upstreamStart = 0; ///< id of the upstream's start that was asked
+    bool hasCrashed = false;         ///< with End::Lost: the upstream itself is gone
+    HttpHeaders headers;             ///< end-to-end fields of the answer
+    std::optional<UpstreamLoad> load;
 };
 
 /// Ask the upstream to run \a run.
@@ -110,6 +125,15 @@
     GateActions finish(UpstreamResult result, ChainResult chain, TimePoint now);
     GateActions tick(TimePoint now, WallTime wall);
 
+    /// Refuses all that waits, so that another target may take it.
+    GateActions refuseWaiting(Error reason);
+
+    /// Cancels what came on \a channel, which has ended, and can be run again elsewhere.
+    GateActions cancelChannel(std::uint64_t channel, TimePoint now);
+
+    std::uint32_t inFlight() const { return m_inFlight; }
+    std::size_t queued() const { return m_queue.size(); }
+
     LoadReport load() const;
     const ExecutionRecord &record() const { return m_record; }
     std::uint64_t shedCount(Rank rank) const;
@@ -124,6 +148,7 @@
         TimePoint started;
         TimePoint deadline;
         double shortShare = 0.0;
+        TimePoint patience{}; ///< refused if it hasn't started by then
         bool isRunning = false;
         bool isLong = false;
     };
@@ -133,7 +158,8 @@
     Claim claimOf(ExecutionId id, const Execution &execution) const;
     void startWaiting(GateActions *actions, TimePoint now);
     bool mayStart(const Claim &claim, TimePoint now) const;
-    void refuse(ExecutionId id, Error reason, bool retryable, GateActions *actions);
+    void refuse(ExecutionId id, Error reason, bool retryable, GateActions *actions,
+                bool wasOffered = false);
     void settle(const Execution &execution, Answer answer, GateActions *actions);
     void endSlot(const Execution &execution, const UpstreamResult &result, TimePoint now);
     Answer answerOf(const Execution &execution, UpstreamResult result, ChainResult chain) const;
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -16,11 +16,6 @@
 
 namespace buckthornford {
 
-using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
-
-/// Returns the value of header \a name (case-insensitive) or nullptr.
-const std::string *findHeader(const HttpHeaders &headers, std::string_view name);
-
 /// Tells whether the peer of a connection has closed it. Cheap enough for a few calls a second.
 class PeerWatch
 {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -138,16 +138,6 @@
 
 } // namespace
 
-const std::string *findHeader(const HttpHeaders &headers, std::string_view name)
-{
-    const auto isSame = [name](const auto &header) {
-        return header.first.size() == name.size()
-               && strncasecmp(header.first.data(), name.data(), name.size()) == 0;
-    };
-    const auto found = std::find_if(headers.begin(), headers.end(), isSame);
-    return found == headers.end() ? nullptr : &found->second;
-}
-
 bool PeerWatch::isGone() const
 {
     if (m_socket < 0)
--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -16,6 +16,26 @@
     return {InstanceId{peer.instance()}, Incarnation{peer.incarnation()}, peer.address()};
 }
 
+template <class Message>
+void encodeHeaders(const HttpHeaders &headers, Message *out)
+{
+    for (const auto &[name, value] : headers) {
+        wire::Header *header = out->add_headers();
+        header->set_name(name);
+        header->set_value(value);
+    }
+}
+
+template <class Message>
+HttpHeaders decodeHeaders(Message *in)
+{
+    HttpHeaders headers;
+    headers.reserve(static_cast<std::size_t>(in->headers_size()));
+    for (wire::Header &header : *in->mutable_headers())
+        headers.emplace_back(std::move(*header.mutable_name()), std::move(*header.mutable_value()));
+    return headers;
+}
+
 void encodeKind(const Hello &hello, wire::Frame *out)
 {
     encodePeer(hello.peer, out->mutable_hello()->mutable_peer());
@@ -48,6 +68,8 @@
     trace->set_trace_low(run.trace.traceLow);
     trace->set_span(run.trace.span);
     trace->set_sampled(run.trace.sampled);
+    out->set_target(work.target);
+    encodeHeaders(work.headers, out);
     if (run.alternate)
         encodePeer(*run.alternate, out->mutable_alternate());
 }
@@ -68,7 +90,9 @@
                     in->idempotent(),
                     in->key(),
                     in->content_type(),
-                    std::move(*in->mutable_body())};
+                    std::move(*in->mutable_body()),
+                    std::move(*in->mutable_target()),
+                    decodeHeaders(in)};
     run.timeLeft = Duration{in->time_left_us()};
     run.age = Duration{in->age_us()};
     run.budget = Tokens{in->budget()};
@@ -101,6 +125,10 @@
     out->set_queue_wait_us(answer.queueWait.count());
     out->set_replayed(answer.replayed);
     out->set_crash(answer.crash);
+    encodeHeaders(answer.headers, out);
+    out->set_was_offered(answer.wasOffered);
+    out->set_service_time_us(answer.serviceTime.count());
+    out->set_retry_after_us(answer.retryAfter.count());
 }
 
 std::optional<Frame> decodeAnswer(wire::Answer *in)
@@ -124,6 +152,10 @@
     answer.queueWait = Duration{in->queue_wait_us()};
     answer.replayed = in->replayed();
     answer.crash = in->crash();
+    answer.headers = decodeHeaders(in);
+    answer.wasOffered = in->was_offered();
+    answer.serviceTime = Duration{in->service_time_us()};
+    answer.retryAfter = Duration{in->retry_after_us()};
     return answer;
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -59,6 +59,16 @@
     std::erase(m_seeds, m_self.peer.address);
 }
 
+void Membership::addSeeds(std::vector<std::string> seeds)
+{
+    for (std::string &seed : seeds) {
+        const bool isKnown = std::find(m_seeds.begin(), m_seeds.end(), seed) != m_seeds.end();
+        if (!isKnown && seed != m_self.peer.address)
+            m_seeds.push_back(std::move(seed));
+    }
+    m_nextExchange = {}; // The next tick asks them.
+}
+
 std::size_t Membership::bucketOf(const InstanceId &instance)
 {
     return checksum(instance.value()) % bucketCount;
@@ -78,6 +88,8 @@
 /// Answers a rumour of this node's own death, or of a version that it doesn't remember.
 void Membership::refute(const Member &rumour)
 {
+    // The clock may have stepped back since the start that others remember.
+    m_self.peer.incarnation = std::max(m_self.peer.incarnation, rumour.peer.incarnation);
     m_self.version = std::max(m_self.version, rumour.version) + 1;
     ++m_changes;
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -88,6 +88,9 @@
 
     const Member &self() const { return m_self; }
 
+    /// Peer doors of further nodes to try.
+    void addSeeds(std::vector<std::string> seeds);
+
     /// Changes what this node says of itself and tells the neighbours.
     Sendings announce(MemberState state, Slots slots, const ServiceName &service);
 
--- /dev/null
+++ b/src/mesh/mesh.cpp
@@ -0,0 +1,176 @@
+#include "link/outbox_p.h"
+#include "mesh/stream_p.h"
+
+namespace buckthornford {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr Duration checkInterval = std::chrono::milliseconds(200);
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(100);
+constexpr int listenBacklog = 1024;
+
+} // namespace
+
+Result<std::unique_ptr<MeshTask>> MeshTask::listen(EventLoop *loop, const PeerRef &self,
+                                                   MeshEvents *events, MeshSettings settings)
+{
+    const Result<Endpoint> place = parseEndpoint(self.address);
+    if (!place)
+        return place.error();
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address_v4(place.value().host, error);
+    const tcp::endpoint endpoint(address, place.value().port);
+    Acceptor acceptor(*loop);
+    if (!error)
+        acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(Acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(listenBacklog, error);
+    if (error)
+        return Error::BindFailed;
+    std::unique_ptr<MeshTask> task(new MeshTask(loop, std::move(acceptor), self, events, settings));
+    task->accept();
+    task->start();
+    return task;
+}
+
+MeshTask::MeshTask(EventLoop *loop, Acceptor acceptor, PeerRef self, MeshEvents *events,
+                   MeshSettings settings)
+    : LoopTask(loop)
+    , m_acceptor(std::move(acceptor))
+    , m_acceptRetry(*loop)
+    , m_self(std::move(self))
+    , m_events(events)
+    , m_settings(settings)
+{}
+
+MeshTask::~MeshTask()
+{
+    for (const auto &[peer, stream] : m_outgoing)
+        stream->abandon();
+    for (const auto &[channel, stream] : m_incoming)
+        stream->abandon();
+}
+
+void MeshTask::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (error) {
+            m_acceptRetry.expires_after(acceptRetryDelay);
+            m_acceptRetry.async_wait([this](const boost::system::error_code &cancelled) {
+                if (!cancelled)
+                    accept();
+            });
+            return;
+        }
+        const ChannelId channel = nextChannel();
+        const auto stream = std::make_shared<MeshStream>(this, std::move(socket), channel);
+        m_incoming.emplace(channel, stream);
+        stream->begin();
+        accept();
+    });
+}
+
+void MeshTask::handle(MeshMessage &&message, TimePoint now)
+{
+    std::visit([this, now](auto &&kind) { on(std::forward<decltype(kind)>(kind), now); },
+               std::move(message));
+}
+
+std::shared_ptr<MeshStream> MeshTask::streamTo(const PeerRef &peer)
+{
+    const auto found = m_outgoing.find(peer.instance);
+    if (found != m_outgoing.end()) {
+        const PeerRef &known = found->second->peer();
+        const bool isSame
+                = known.address == peer.address
+                  && (known.incarnation == peer.incarnation || peer.incarnation == Incarnation{});
+        if (isSame)
+            return found->second;
+        // The instance has started anew: what the old stream owes won't come.
+        const std::shared_ptr<MeshStream> old = found->second;
+        old->end();
+    }
+    auto stream = std::make_shared<MeshStream>(this, peer);
+    m_outgoing.insert_or_assign(peer.instance, stream);
+    stream->connect();
+    return stream;
+}
+
+void MeshTask::on(SendToPeer &&message, TimePoint)
+{
+    const auto stream = streamTo(message.peer);
+    stream->post(message.frame);
+    markDirty(stream);
+}
+
+void MeshTask::on(SendOnChannel &&message, TimePoint)
+{
+    const auto found = m_incoming.find(message.channel);
+    if (found == m_incoming.end())
+        return;
+    found->second->post(message.frame);
+    markDirty(found->second);
+}
+
+void MeshTask::markDirty(const std::shared_ptr<MeshStream> &stream)
+{
+    if (std::exchange(stream->m_isDirty, true))
+        return;
+    m_dirty.push_back(stream);
+    if (m_dirty.size() == 1)
+        boost::asio::post(loop(), [this] { settle(monotonicNow()); });
+}
+
+void MeshTask::settle(TimePoint)
+{
+    for (const auto &stream : std::exchange(m_dirty, {})) {
+        stream->m_isDirty = false;
+        stream->flush();
+    }
+}
+
+TimePoint MeshTask::tick(TimePoint now)
+{
+    std::vector<std::shared_ptr<MeshStream>> silent;
+    for (const auto &[peer, stream] : m_outgoing) {
+        if (!stream->keepAlive(m_settings, now))
+            silent.push_back(stream);
+    }
+    for (const auto &stream : silent)
+        stream->end();
+    return now + checkInterval;
+}
+
+void MeshTask::onFrame(MeshStream *stream, Frame frame)
+{
+    if (stream->isOutgoing())
+        m_events->onPeerFrame(stream->peer().instance, std::move(frame));
+    else
+        m_events->onChannelFrame(stream->channel(), stream->peer(), std::move(frame));
+}
+
+void MeshTask::onEnded(MeshStream *stream)
+{
+    if (!stream->isOutgoing()) {
+        const ChannelId channel = stream->channel();
+        m_incoming.erase(channel);
+        m_events->onChannelClosed(channel);
+        return;
+    }
+    const InstanceId peer = stream->peer().instance;
+    const bool wasOpen = stream->wasOpen();
+    const auto found = m_outgoing.find(peer);
+    if (found != m_outgoing.end() && found->second.get() == stream)
+        m_outgoing.erase(found);
+    m_events->onPeerEnded(peer, wasOpen);
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/mesh/mesh.h
@@ -0,0 +1,101 @@
+#pragma once
+
+/// Streams between nodes over TCP on an event loop: length-prefixed batches of protobuf frames.
+
+#include "link/link.h"
+#include "loop/loop.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <unordered_map>
+#include <variant>
+
+namespace buckthornford {
+
+/// Sends on this node's stream to a peer; a stream is opened if there is none.
+struct SendToPeer
+{
+    PeerRef peer;
+    Frame frame;
+};
+
+/// Sends on a stream that a peer opened; dropped if it has ended.
+struct SendOnChannel
+{
+    ChannelId channel;
+    Frame frame;
+};
+
+using MeshMessage = std::variant<SendToPeer, SendOnChannel>;
+
+/// What happens on the streams. Frames that keep a stream alive are not reported.
+class MeshEvents
+{
+public:
+    virtual ~MeshEvents() = default;
+
+    /// A frame on this node's own stream to \a peer.
+    virtual void onPeerFrame(const InstanceId &peer, Frame frame) = 0;
+
+    /// This node's stream to \a peer has ended; \a wasOpen if the peer had greeted before, so
+    /// that what was sent may have arrived.
+    virtual void onPeerEnded(const InstanceId &peer, bool wasOpen) = 0;
+
+    /// A frame on a stream that \a from opened.
+    virtual void onChannelFrame(ChannelId channel, const PeerRef &from, Frame frame) = 0;
+    virtual void onChannelClosed(ChannelId channel) = 0;
+};
+
+struct MeshSettings
+{
+    Duration connectLimit{std::chrono::milliseconds(800)};  ///< until the peer greets
+    Duration pingAfter{std::chrono::milliseconds(400)};     ///< without a frame while one is due
+    Duration silenceLimit{std::chrono::milliseconds(1600)}; ///< without a frame while one is due
+};
+
+class MeshStream;
+
+/// The task that owns the listening socket for other nodes and all streams. A stream that owes
+/// an answer and falls silent is pinged, and ended if even that brings nothing.
+class MeshTask : public LoopTask<MeshMessage>
+{
+public:
+    /// Error::BindFailed if the endpoint of \a self can't be used.
+    static Result<std::unique_ptr<MeshTask>> listen(EventLoop *loop, const PeerRef &self,
+                                                    MeshEvents *events, MeshSettings settings);
+    ~MeshTask() override;
+
+    std::uint64_t sentBytes() const { return m_sentBytes; }
+
+protected:
+    void handle(MeshMessage &&message, TimePoint now) override;
+    TimePoint tick(TimePoint now) override;
+    void settle(TimePoint now) override;
+
+private:
+    friend class MeshStream;
+    using Acceptor = boost::asio::ip::tcp::acceptor;
+
+    MeshTask(EventLoop *loop, Acceptor acceptor, PeerRef self, MeshEvents *events,
+             MeshSettings settings);
+    void accept();
+    void on(SendToPeer &&message, TimePoint now);
+    void on(SendOnChannel &&message, TimePoint now);
+    std::shared_ptr<MeshStream> streamTo(const PeerRef &peer);
+    void onFrame(MeshStream *stream, Frame frame);
+    void onEnded(MeshStream *stream);
+    void markDirty(const std::shared_ptr<MeshStream> &stream);
+
+    Acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptRetry;
+    PeerRef m_self;
+    MeshEvents *m_events;
+    MeshSettings m_settings;
+    std::unordered_map<InstanceId, std::shared_ptr<MeshStream>> m_outgoing;
+    std::unordered_map<ChannelId, std::shared_ptr<MeshStream>> m_incoming;
+    std::vector<std::shared_ptr<MeshStream>> m_dirty; ///< with frames that wait to be written
+    std::uint64_t m_sentBytes = 0;
+};
+
+} // namespace buckthornford
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -75,6 +75,7 @@
     const Duration timeLeft = std::max(Duration{1000}, Duration{job.deadline - now});
     Result<HttpResponse> response = m_connection->exchange(requestOf(job, now), timeLeft);
     result.end = endOf(response);
+    result.hasCrashed = result.end == UpstreamResult::End::Lost;
     m_lastUse = monotonicNow();
     result.latency = m_lastUse - now;
     if (!response || m_connection->mustClose())
--- a/src/poison/poison.h
+++ b/src/poison/poison.h
@@ -52,6 +52,8 @@
     /// Whether the content ran during a crash and has not been cleared.
     bool isSuspect(ContentHash content) const { return m_crashes.contains(content); }
 
+    bool isEmpty() const { return m_crashes.empty(); }
+
     struct Row
     {
         ContentHash content;
--- a/src/preset/preset.h
+++ b/src/preset/preset.h
@@ -3,6 +3,7 @@
 /// Presets, the ruling that breaks ties, and the revisions of the configuration.
 
 #include "core/core.h"
+#include "routes/routes.h"
 
 #include <array>
 #include <map>
@@ -17,9 +18,10 @@
 struct ClassRule
 {
     ClassName name;
-    Rank rank;           ///< 0 is shed last
-    Tokens retries;      ///< for the whole call chain of one request
-    Duration timeout{0}; ///< where the request names none
+    Rank rank;             ///< 0 is shed last
+    Tokens retries;        ///< for the whole call chain of one request
+    Duration timeout{0};   ///< where the request names none
+    Duration objective{0}; ///< within which an answer is wanted; 0 if none is set
 };
 
 /// How equal claims are ordered.
@@ -55,6 +57,7 @@
 {
     std::map<PresetName, Preset> presets;
     PresetName inForce;
+    RouteTable routes; ///< empty where callers name the service themselves
 
     const Preset &presetInForce() const { return presets.at(inForce); }
 };
--- /dev/null
+++ b/src/proxy/proxy_task.cpp
@@ -0,0 +1,444 @@
+#include "proxy/proxy_task.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornford {
+
+namespace {
+
+/// Runs that this node's own entry sends to its own gate.
+constexpr std::uint64_t localChannel = 0;
+/// Grain of deadlines and of what is done at intervals.
+constexpr Duration tickInterval = std::chrono::milliseconds(20);
+constexpr Duration idleTickInterval = std::chrono::milliseconds(200);
+
+EntrySettings entrySettings(const ProxySettings &settings, const PoisonBook *poison)
+{
+    EntrySettings entry;
+    entry.place = settings.place;
+    entry.policy = settings.entry;
+    entry.ratio = {settings.retryRatio, 1.0};
+    entry.seed = settings.seed;
+    entry.poison = poison;
+    return entry;
+}
+
+GateSettings gateSettings(const ProxySettings &settings, const PoisonBook *poison)
+{
+    GateSettings gate;
+    gate.self = settings.self.instance;
+    gate.incarnation = settings.self.incarnation;
+    gate.policy = settings.gate;
+    gate.poison = poison;
+    return gate;
+}
+
+/// The bench's and most platforms' clocks may step; decisions here use no wall time.
+constexpr WallTime noWallTime{0};
+
+} // namespace
+
+ProxyTask::ProxyTask(EventLoop *loop, const ProxySettings &settings, const Adapter &adapter,
+                     ProxyOutputs outputs)
+    : LoopTask(loop)
+    , m_settings(settings)
+    , m_adapter(adapter)
+    , m_outputs(std::move(outputs))
+    , m_poison({})
+    , m_entry(entrySettings(settings, &m_poison))
+    , m_gate(gateSettings(settings, &m_poison))
+    , m_chooser(settings.seed)
+{}
+
+void ProxyTask::handle(ProxyMessage &&message, TimePoint now)
+{
+    std::visit([this, now](auto &&kind) { on(std::forward<decltype(kind)>(kind), now); },
+               std::move(message));
+}
+
+TimePoint ProxyTask::tick(TimePoint now)
+{
+    carryOut(m_entry.tick(now, noWallTime), now);
+    carryOut(m_gate.tick(now, noWallTime), now);
+    m_poison.expire(now);
+    drain(now);
+    tellCondition();
+    const bool isBusy = m_entry.openCalls() > 0 || m_gate.queued() > 0;
+    return now + (isBusy ? tickInterval : idleTickInterval);
+}
+
+void ProxyTask::on(CallArrived &&message, TimePoint now)
+{
+    wakeBy(now + tickInterval);
+    const RequestId id = message.request.id;
+    IncomingCall call;
+    if (auto malformed = m_adapter.callers->read(std::move(message.request), &call)) {
+        m_outputs.answer(std::move(*malformed));
+        return;
+    }
+    const Configuration *configuration = m_history.newest();
+    if (configuration == nullptr) {
+        refuseCall(id, Error::NoConfiguration);
+        return;
+    }
+    const Route *route = configuration->document.routes.find(call.host, call.path);
+    if (route == nullptr) {
+        refuseCall(id, Error::NoRoute);
+        return;
+    }
+    Work &work = call.request.work;
+    work.service = m_chooser.choose(*route);
+    work.operation = route->name;
+    work.className = route->className;
+    work.idempotent = route->isIdempotent;
+    work.caller = CallerName{m_settings.callerService.value()};
+    m_callerIds.emplace(id, call.id);
+    const Duration timeout = route->timeout;
+    call.request.timeout = std::min(call.request.timeout.value_or(timeout), timeout);
+    carryOut(m_entry.begin(id, std::move(call.request), m_history, now, noWallTime), now);
+}
+
+void ProxyTask::refuseCall(RequestId id, Error reason)
+{
+    m_outputs.answer(m_adapter.callers->answer(id, refusal(id, reason, false)));
+}
+
+void ProxyTask::on(CallerGone &&message, TimePoint now)
+{
+    carryOut(m_entry.cancel(message.id, now, noWallTime), now);
+}
+
+void ProxyTask::on(PeerAnswered &&message, TimePoint now)
+{
+    auto *answer = std::get_if<Answer>(&message.frame);
+    if (answer == nullptr)
+        return;
+    // The strike must be known before the entry decides on a retry.
+    if (answer->crash != 0) {
+        if (const Work *work = m_entry.workOf(answer->request))
+            noteStrikes(*work, answer->crash, now);
+    }
+    carryOut(m_entry.answer(message.peer, std::move(*answer), now, noWallTime), now);
+}
+
+void ProxyTask::on(PeerStreamEnded &&message, TimePoint now)
+{
+    carryOut(message.wasOpen ? m_entry.peerLost(message.peer, now, noWallTime)
+                             : m_entry.peerUnreachable(message.peer, now, noWallTime),
+             now);
+}
+
+void ProxyTask::on(RunArrived &&message, TimePoint now)
+{
+    wakeBy(now + tickInterval);
+    if (const auto *run = std::get_if<Run>(&message.frame))
+        runHere(*run, {message.channel.value(), run->request, run->attempt}, now);
+    else if (const auto *cancel = std::get_if<Cancel>(&message.frame))
+        carryOut(m_gate.cancel({message.channel.value(), cancel->request, cancel->attempt}, now),
+                 now);
+}
+
+void ProxyTask::on(ChannelEnded &&message, TimePoint now)
+{
+    carryOut(m_gate.cancelChannel(message.channel.value(), now), now);
+}
+
+void ProxyTask::on(ExecutionEnded &&message, TimePoint now)
+{
+    if (message.result.load)
+        m_gate.reportLoad(message.result.load->running + message.result.load->waiting, now);
+    if (message.result.end != UpstreamResult::End::Lost) {
+        finishExecution(std::move(message.result), now);
+        return;
+    }
+    // Whether the upstream crashed or only the connection broke is found out before the answer.
+    m_lost.push_back(std::move(message.result));
+    if (m_lost.size() == 1)
+        m_outputs.probeUpstream();
+}
+
+void ProxyTask::on(UpstreamProbed &&message, TimePoint now)
+{
+    for (UpstreamResult &result : std::exchange(m_lost, {})) {
+        result.hasCrashed = !message.isReachable;
+        finishExecution(std::move(result), now);
+    }
+}
+
+void ProxyTask::finishExecution(UpstreamResult result, TimePoint now)
+{
+    const auto running = m_running.find(result.execution);
+    if (running != m_running.end()) {
+        const Work &work = running->second;
+        if (result.hasCrashed)
+            noteStrikes(work, result.upstreamStart, now);
+        else if (result.end == UpstreamResult::End::Answered)
+            noteCompletion(work, now);
+        const bool isAnswered = result.end == UpstreamResult::End::Answered;
+        m_gateMetrics.record(work.className, isAnswered ? Outcome::Completed : Outcome::Unknown,
+                             Error::None, result.latency);
+        m_running.erase(running);
+    }
+    const bool isAbsent = result.end == UpstreamResult::End::NotSent || result.hasCrashed;
+    carryOut(m_gate.finish(std::move(result), {}, now), now);
+    if (isAbsent && m_gate.hasUpstream()) {
+        // Its next report brings it back.
+        carryOut(m_gate.withdraw(now), now);
+        tellCondition();
+    }
+}
+
+/// Reports can arrive late: those of an earlier start, or earlier ones of the present start, say
+/// nothing any more.
+bool ProxyTask::isNews(const UpstreamNews &news) const
+{
+    if (!m_upstream)
+        return true;
+    if (news.start && m_upstream->start && *news.start != *m_upstream->start)
+        return *news.start > *m_upstream->start;
+    if (news.id != m_upstream->id)
+        return true;
+    return news.state == UpstreamNews::State::Gone || news.sequence > m_upstream->sequence;
+}
+
+void ProxyTask::on(UpstreamReported &&message, TimePoint now)
+{
+    const UpstreamNews &news = message.news;
+    if (!isNews(news))
+        return;
+    const bool isSame = m_upstream && m_upstream->id == news.id && m_upstream->start == news.start;
+    if (news.state == UpstreamNews::State::Gone) {
+        if (m_upstream && m_upstream->id == news.id)
+            leave(now);
+        return;
+    }
+    m_upstream = news;
+    if (news.state == UpstreamNews::State::Leaving) {
+        leave(now);
+        return;
+    }
+    if (isSame && m_leaveTime)
+        return; // A start that has said that it leaves doesn't come back.
+    m_leaveTime.reset();
+    if (!m_stopTime)
+        m_gate.stopDraining();
+    m_outputs.upstream(UpstreamChanged{
+            {news.id, checksum(news.id + '/' + std::to_string(news.start.value_or(0))),
+             news.address}});
+    m_gate.announce(news.slots, !isSame, now);
+    tellCondition();
+}
+
+void ProxyTask::leave(TimePoint now)
+{
+    if (!m_leaveTime)
+        m_leaveTime = now;
+    wakeBy(now + m_settings.drainSpread);
+    tellCondition();
+}
+
+/// Once the news has spread, new work is refused; what still waits a little later, too.
+void ProxyTask::drain(TimePoint now)
+{
+    const std::optional<TimePoint> since = m_leaveTime ? m_leaveTime : m_stopTime;
+    if (!since)
+        return;
+    if (now - *since >= m_settings.drainSpread)
+        m_gate.startDraining();
+    if (now - *since >= m_settings.drainLimit && m_gate.queued() > 0)
+        carryOut(m_gate.refuseWaiting(Error::TargetLeaving), now);
+}
+
+void ProxyTask::on(MembersChanged &&message, TimePoint now)
+{
+    std::vector<Target> targets;
+    std::vector<DirectoryEntry> directory;
+    std::size_t live = 0;
+    for (const Member &member : message.members) {
+        if (!member.isLive())
+            continue;
+        ++live;
+        directory.push_back({member.peer, member.service});
+        if (member.isServing())
+            targets.push_back({member.peer, member.service, member.zone, member.region,
+                               member.slots, member.suspected});
+    }
+    // Each node's part of the fleet's slack; small while few nodes are known would be too much.
+    m_entry.setRatio(
+            {m_settings.retryRatio,
+             std::max(1.0, m_settings.retrySlack
+                                   / static_cast<double>(std::max<std::size_t>(live, 1)))});
+    m_entry.setView(targets, std::move(directory), now);
+}
+
+void ProxyTask::on(ConfigurationTaken &&message, TimePoint)
+{
+    m_history.accept(std::move(message.configuration));
+}
+
+void ProxyTask::on(StrikesTaken &&message, TimePoint now)
+{
+    std::vector<Strike> news;
+    for (const Strike &strike : message.strikes) {
+        if (m_poison.note(strike, now))
+            news.push_back(strike);
+    }
+    if (!news.empty())
+        m_outputs.strikes({std::move(news), message.from});
+}
+
+void ProxyTask::on(SettingsChanged &&message, TimePoint)
+{
+    m_settings.callerService = message.callerService;
+}
+
+void ProxyTask::on(StopWanted &&, TimePoint now)
+{
+    if (!m_stopTime)
+        m_stopTime = now;
+    tellCondition();
+}
+
+/// A crash of an upstream is a strike against everything that it was running.
+void ProxyTask::noteStrikes(const Work &work, std::uint64_t crash, TimePoint now)
+{
+    on(StrikesTaken{{{contentHash(work), crash, false}}, std::nullopt}, now);
+}
+
+/// What completes does not crash upstreams.
+void ProxyTask::noteCompletion(const Work &work, TimePoint now)
+{
+    if (m_poison.isEmpty())
+        return;
+    const ContentHash content = contentHash(work);
+    if (m_poison.isSuspect(content))
+        on(StrikesTaken{{{content, randomNumber(), true}}, std::nullopt}, now);
+}
+
+void ProxyTask::carryOut(EntryActions &&actions, TimePoint now)
+{
+    for (EntryAction &action : actions)
+        std::visit([this, now](auto &&kind) { carryOut(std::forward<decltype(kind)>(kind), now); },
+                   std::move(action));
+}
+
+void ProxyTask::carryOut(SendRun &&action, TimePoint now)
+{
+    if (action.to.instance == m_settings.self.instance)
+        runHere(action.run, {localChannel, action.run.request, action.run.attempt}, now);
+    else
+        m_outputs.mesh(SendToPeer{std::move(action.to), std::move(action.run)});
+}
+
+void ProxyTask::carryOut(SendCancel &&action, TimePoint now)
+{
+    if (action.to.instance == m_settings.self.instance)
+        carryOut(m_gate.cancel({localChannel, action.request, action.attempt}, now), now);
+    else
+        m_outputs.mesh(SendToPeer{std::move(action.to), Cancel{action.request, action.attempt}});
+}
+
+void ProxyTask::carryOut(FinishCall &&action, TimePoint now)
+{
+    const Span &span = action.result.span;
+    logEnd(action, now);
+    m_callerIds.erase(action.request);
+    m_entryMetrics.record(span.className, span.outcome, span.reason, action.result.duration);
+    m_outputs.answer(m_adapter.callers->answer(action.request, std::move(action.result.answer)));
+}
+
+void ProxyTask::logEnd(const FinishCall &action, TimePoint now)
+{
+    const CallResult &result = action.result;
+    const bool isWell = result.answer.outcome == Outcome::Completed && result.attempts.value() <= 1;
+    const LogClass kind = isWell ? LogClass::Routine : LogClass::Trouble;
+    if (!m_outputs.log->takes(kind, now))
+        return;
+    const Span &span = result.span;
+    const auto id = m_callerIds.find(action.request);
+    m_outputs.log->write(kind, "request-ended",
+                         {{"request", id == m_callerIds.end() ? std::string_view() : id->second},
+                          {"service", span.service.value()},
+                          {"route", span.operation.value()},
+                          {"outcome", outcomeName(result.answer.outcome)},
+                          {"reason", errorRow(result.answer.reason).name},
+                          {"status", std::int64_t{result.answer.status}},
+                          {"attempts", std::int64_t{result.attempts.value()}},
+                          {"revision", static_cast<std::int64_t>(span.revision.value())},
+                          {"last_target", result.lastTarget.value()},
+                          {"queue_ms", toMilliseconds(span.queueWait)},
+                          {"took_ms", toMilliseconds(result.duration)}},
+                         now);
+}
+
+void ProxyTask::carryOut(GateActions &&actions, TimePoint now)
+{
+    for (GateAction &action : actions)
+        std::visit([this, now](auto &&kind) { carryOut(std::forward<decltype(kind)>(kind), now); },
+                   std::move(action));
+}
+
+void ProxyTask::carryOut(StartExecution &&action, TimePoint)
+{
+    m_running.insert_or_assign(action.execution, action.run.work);
+    m_outputs.upstream(StartJob{action.execution, std::move(action.run), action.deadline});
+}
+
+void ProxyTask::carryOut(CancelExecution &&action, TimePoint)
+{
+    m_outputs.upstream(CancelJob{action.execution});
+}
+
+void ProxyTask::carryOut(Reply &&action, TimePoint now)
+{
+    if (action.to.channel == localChannel) {
+        carryOut(
+                m_entry.answer(m_settings.self.instance, std::move(action.answer), now, noWallTime),
+                now);
+        return;
+    }
+    m_outputs.mesh(SendOnChannel{ChannelId{action.to.channel}, std::move(action.answer)});
+}
+
+void ProxyTask::runHere(const Run &run, ReplyTo from, TimePoint now)
+{
+    const Configuration *configuration = m_history.at(run.revision, noWallTime);
+    if (configuration == nullptr) {
+        carryOut(Reply{from, refusal(run, Error::NoConfiguration, true)}, now);
+        return;
+    }
+    if (!m_upstream || m_upstream->service != run.work.service) {
+        carryOut(Reply{from, refusal(run, Error::UpstreamAbsent, true)}, now);
+        return;
+    }
+    carryOut(m_gate.run(run, from, configuration->document.presetInForce(), now, noWallTime), now);
+}
+
+MemberState ProxyTask::state() const
+{
+    if (m_leaveTime || m_stopTime)
+        return MemberState::Leaving;
+    return m_gate.hasUpstream() ? MemberState::Serving : MemberState::Joining;
+}
+
+void ProxyTask::tellCondition()
+{
+    NodeCondition condition{state(), {}, {}};
+    if (m_upstream) {
+        condition.slots = m_upstream->slots;
+        condition.service = m_upstream->service;
+    }
+    if (m_told == condition)
+        return;
+    m_told = condition;
+    m_outputs.condition(condition);
+}
+
+std::string ProxyTask::metricsText() const
+{
+    return m_entryMetrics.exposition("buckthornford_entry")
+           + m_gateMetrics.exposition("buckthornford_gate");
+}
+
+} // namespace buckthornford
--- /dev/null
+++ b/src/proxy/service_node.cpp
@@ -0,0 +1,431 @@
+#include "proxy/service_node.h"
+
+#include "proxy/gossip_task.h"
+#include "proxy/proxy_task.h"
+#include "store/store.h"
+#include "telemetry/event_log.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+
+namespace buckthornford {
+
+namespace {
+
+constexpr Duration housekeepingInterval = std::chrono::milliseconds(250);
+constexpr Duration settingsInterval = std::chrono::seconds(2);
+/// Callers need two failed readiness checks, a second apart, to go elsewhere.
+constexpr Duration shortestStop = std::chrono::milliseconds(2600);
+/// Left between the last chance to end in order and the kill.
+constexpr Duration stopMargin = std::chrono::milliseconds(700);
+
+/// Serves short answers that need no waiting, such as readiness and metrics.
+class InstantDoor : public DoorEvents
+{
+public:
+    using Answerer = std::function<DoorAnswer(DoorRequest)>;
+
+    explicit InstantDoor(Answerer answerer)
+        : m_answerer(std::move(answerer))
+    {}
+
+    void onRequest(DoorRequest request) override { m_door->post(m_answerer(std::move(request))); }
+    void onLeft(RequestId) override {}
+
+    std::unique_ptr<HttpDoor> m_door;
+
+private:
+    Answerer m_answerer;
+};
+
+} // namespace
+
+/// Passes on what happens on sockets as messages to the tasks.
+struct ServiceNode::Private : DoorEvents, MeshEvents
+{
+    Private(const ServiceNodeSettings &nodeSettings, const Adapter &nodeAdapter,
+            SettingsReader reader);
+
+    Result<void> open();
+    void startTasks();
+    ProxyOutputs proxyOutputs();
+    GossipOutputs gossipOutputs();
+    StoreOutputs storeOutputs();
+
+    void onRequest(DoorRequest request) override { proxy->post(CallArrived{std::move(request)}); }
+    void onLeft(RequestId id) override { proxy->post(CallerGone{id}); }
+
+    void onPeerFrame(const InstanceId &peer, Frame frame) override;
+    void onPeerEnded(const InstanceId &peer, bool wasOpen) override;
+    void onChannelFrame(ChannelId channel, const PeerRef &from, Frame frame) override;
+    void onChannelClosed(ChannelId channel) override { proxy->post(ChannelEnded{channel}); }
+
+    DoorAnswer answerReadiness(const DoorRequest &request) const;
+    DoorAnswer answerAnnouncement(const DoorRequest &request);
+    DoorAnswer answerMetrics(const DoorRequest &request) const;
+
+    void takeConfiguration(const std::string &text);
+    void probeUpstream();
+    void keepHouse();
+    void readSettings();
+    void beginStop();
+
+    ServiceNodeSettings settings;
+    Adapter adapter;
+    SettingsReader settingsReader;
+    PeerRef self;
+    EventLoop loop{1};
+    EventLog log{EventLog::Settings{}};
+    boost::asio::signal_set signals{loop};
+    boost::asio::steady_timer timer{loop};
+    std::unique_ptr<ProxyTask> proxy;
+    std::unique_ptr<GossipTask> gossip;
+    std::unique_ptr<StoreTask> store;
+    std::unique_ptr<UpstreamTask> upstream;
+    std::unique_ptr<MeshTask> mesh;
+    std::unique_ptr<HttpDoor> callers;
+    InstantDoor readiness{[this](DoorRequest request) { return answerReadiness(request); }};
+    InstantDoor announcements{[this](DoorRequest request) { return answerAnnouncement(request); }};
+    InstantDoor metrics{[this](DoorRequest request) { return answerMetrics(request); }};
+    std::shared_ptr<ClientConnection> probe;
+    Endpoint upstreamAddress;
+    Revision newest;
+    std::optional<TimePoint> stopTime;
+    TimePoint nextSettings;
+};
+
+ServiceNode::Private::Private(const ServiceNodeSettings &nodeSettings, const Adapter &nodeAdapter,
+                              SettingsReader reader)
+    : settings(nodeSettings)
+    , adapter(nodeAdapter)
+    , settingsReader(std::move(reader))
+    , self{settings.instance, Incarnation{static_cast<std::uint64_t>(steadyWallNow().value())},
+           settings.peers.toString()}
+{}
+
+Result<void> ServiceNode::Private::open()
+{
+    Result<std::unique_ptr<MeshTask>> peers = MeshTask::listen(&loop, self, this, MeshSettings{});
+    if (!peers)
+        return peers.error();
+    mesh = std::move(peers.value());
+    struct DoorPlan
+    {
+        Endpoint endpoint;
+        DoorEvents *events;
+        std::unique_ptr<HttpDoor> *door;
+    };
+    const std::array<DoorPlan, 4> plans{
+            DoorPlan{settings.callers, this, &callers},
+            DoorPlan{settings.announcements, &announcements, &announcements.m_door},
+            DoorPlan{settings.readiness, &readiness, &readiness.m_door},
+            DoorPlan{settings.metrics, &metrics, &metrics.m_door}};
+    for (const DoorPlan &plan : plans) {
+        Result<std::unique_ptr<HttpDoor>> door
+                = HttpDoor::listen(&loop, plan.endpoint, plan.events);
+        if (!door)
+            return door.error();
+        *plan.door = std::move(door.value());
+    }
+    return success();
+}
+
+ProxyOutputs ServiceNode::Private::proxyOutputs()
+{
+    ProxyOutputs outputs;
+    outputs.answer = [this](DoorAnswer answer) { callers->post(std::move(answer)); };
+    outputs.mesh = [this](MeshMessage message) { mesh->post(std::move(message)); };
+    outputs.upstream = [this](UpstreamMessage message) {
+        if (const auto *change = std::get_if<UpstreamChanged>(&message))
+            upstreamAddress = change->identity.address;
+        upstream->post(std::move(message));
+    };
+    outputs.probeUpstream = [this] { probeUpstream(); };
+    outputs.condition = [this](NodeCondition condition) { gossip->post(std::move(condition)); };
+    outputs.strikes = [this](StrikesTaken strikes) { gossip->post(std::move(strikes)); };
+    outputs.log = &log;
+    return outputs;
+}
+
+GossipOutputs ServiceNode::Private::gossipOutputs()
+{
+    GossipOutputs outputs;
+    outputs.mesh = [this](MeshMessage message) { mesh->post(std::move(message)); };
+    outputs.members = [this](MembersChanged members) {
+        if (store)
+            store->post(CompanyChanged{gossip->liveCount() == 0});
+        proxy->post(std::move(members));
+    };
+    outputs.configuration = [this](const std::string &text) { takeConfiguration(text); };
+    outputs.strikes = [this](StrikesTaken strikes) { proxy->post(std::move(strikes)); };
+    return outputs;
+}
+
+StoreOutputs ServiceNode::Private::storeOutputs()
+{
+    StoreOutputs outputs;
+    outputs.configuration = [this](const std::string &text) { takeConfiguration(text); };
+    outputs.nodes = [this](const std::vector<StoredRow> &rows) {
+        SeedsFound seeds;
+        for (const StoredRow &row : rows)
+            seeds.addresses.push_back(row.value);
+        gossip->post(std::move(seeds));
+    };
+    outputs.reachable = [this](bool isReachable) {
+        log.write(LogClass::Process, isReachable ? "store-reached" : "store-lost",
+                  {{"revision", static_cast<std::int64_t>(newest.value())}}, monotonicNow());
+    };
+    return outputs;
+}
+
+void ServiceNode::Private::startTasks()
+{
+    const std::uint64_t seed = checksum(settings.instance.value());
+    Member member;
+    member.peer = self;
+    member.zone = settings.zone;
+    member.region = settings.region;
+    member.service = settings.callerService;
+
+    ProxySettings proxySettings;
+    proxySettings.place = {settings.instance, settings.zone, settings.region};
+    proxySettings.self = self;
+    proxySettings.callerService = settings.callerService;
+    proxySettings.entry.router = RouterKind::LeastCost;
+    proxySettings.entry.chooseRetry = chooseRetryWithoutKeys;
+    proxySettings.entry.usesKeys = false;
+    proxySettings.entry.freePlacements = 4;
+    proxySettings.entry.ratioPerService = true;
+    proxySettings.gate.limiter = LimiterKind::Fixed;
+    proxySettings.gate.keepsRecord = false;
+    proxySettings.gate.patienceShare = 0.125;
+    // Repeats cause further calls behind them, which count too.
+    proxySettings.retryRatio = settings.retryRatio / 2.0;
+    proxySettings.retrySlack = settings.retrySlack / 2.0;
+    proxySettings.drainLimit = scaled(settings.drainBound, 0.8);
+    proxySettings.drainSpread = scaled(settings.drainBound, 0.3);
+    proxySettings.seed = seed;
+
+    proxy = std::make_unique<ProxyTask>(&loop, proxySettings, adapter, proxyOutputs());
+    gossip = std::make_unique<GossipTask>(&loop, std::move(member), settings.seeds, seed,
+                                          gossipOutputs());
+    upstream = std::make_unique<UpstreamTask>(
+            &loop, adapter.upstream.get(),
+            [this](UpstreamResult result) { proxy->post(ExecutionEnded{std::move(result)}); });
+    proxy->start();
+    gossip->start();
+    upstream->start();
+    if (!settings.store)
+        return;
+    store = std::make_unique<StoreTask>(&loop, *settings.store, adapter.store, seed,
+                                        storeOutputs());
+    store->start();
+    store->post(PutSelf{settings.instance.value(), self.address});
+}
+
+void ServiceNode::Private::onPeerFrame(const InstanceId &peer, Frame frame)
+{
+    if (auto *news = std::get_if<Gossip>(&frame)) {
+        PeerRef from;
+        from.instance = peer;
+        gossip->post(GossipArrived{std::move(from), std::nullopt, std::move(*news)});
+        return;
+    }
+    proxy->post(PeerAnswered{peer, std::move(frame)});
+}
+
+void ServiceNode::Private::onPeerEnded(const InstanceId &peer, bool wasOpen)
+{
+    proxy->post(PeerStreamEnded{peer, wasOpen});
+    gossip->post(GossipPeerEnded{peer, wasOpen});
+}
+
+void ServiceNode::Private::onChannelFrame(ChannelId channel, const PeerRef &from, Frame frame)
+{
+    if (auto *news = std::get_if<Gossip>(&frame))
+        gossip->post(GossipArrived{from, channel, std::move(*news)});
+    else
+        proxy->post(RunArrived{channel, std::move(frame)});
+}
+
+DoorAnswer ServiceNode::Private::answerReadiness(const DoorRequest &request) const
+{
+    DoorAnswer answer;
+    answer.id = request.id;
+    answer.status = proxy && proxy->isReady() ? 200 : 503;
+    return answer;
+}
+
+DoorAnswer ServiceNode::Private::answerAnnouncement(const DoorRequest &request)
+{
+    const Result<UpstreamNews> news = adapter.announcements->read(request);
+    if (news) {
+        proxy->post(UpstreamReported{news.value()});
+        return adapter.announcements->acknowledge(request.id);
+    }
+    DoorAnswer answer;
+    answer.id = request.id;
+    answer.status = errorRow(errorOf(news.error())).httpStatus;
+    log.write(LogClass::Trouble, "announcement-refused",
+              {{"target", request.target}, {"reason", errorRow(errorOf(news.error())).name}},
+              monotonicNow());
+    return answer;
+}
+
+DoorAnswer ServiceNode::Private::answerMetrics(const DoorRequest &request) const
+{
+    DoorAnswer answer;
+    answer.id = request.id;
+    answer.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+    answer.body = proxy->metricsText();
+    return answer;
+}
+
+void ServiceNode::Private::takeConfiguration(const std::string &text)
+{
+    const Result<Configuration> configuration = adapter.store->parseConfiguration(text);
+    if (!configuration) {
+        log.write(LogClass::Process, "configuration-refused",
+                  {{"reason", errorRow(errorOf(configuration.error())).name},
+                   {"kept_revision", static_cast<std::int64_t>(newest.value())}},
+                  monotonicNow());
+        return;
+    }
+    const Revision revision = configuration.value().revision;
+    if (revision <= newest)
+        return;
+    newest = revision;
+    log.write(LogClass::Process, "configuration-taken",
+              {{"revision", static_cast<std::int64_t>(revision.value())}}, monotonicNow());
+    callers->post(adapter.store->callerLimits(text));
+    gossip->post(ConfigurationHeld{revision, text});
+    proxy->post(ConfigurationTaken{configuration.value()});
+}
+
+/// Opens a connection to the upstream and closes it.
+void ServiceNode::Private::probeUpstream()
+{
+    constexpr Duration probeTimeout = std::chrono::milliseconds(300);
+    struct Probe
+    {
+        explicit Probe(EventLoop *loop)
+            : socket(*loop)
+            , timer(*loop)
+        {}
+        boost::asio::ip::tcp::socket socket;
+        boost::asio::steady_timer timer;
+        bool isDone = false;
+    };
+    const auto attempt = std::make_shared<Probe>(&loop);
+    const auto finish = [this, attempt](bool isReachable) {
+        if (std::exchange(attempt->isDone, true))
+            return;
+        attempt->timer.cancel();
+        boost::system::error_code ignored;
+        attempt->socket.close(ignored);
+        proxy->post(UpstreamProbed{isReachable});
+    };
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address_v4(upstreamAddress.host, error);
+    attempt->socket.async_connect(
+            {address, upstreamAddress.port},
+            [finish](const boost::system::error_code &failure) { finish(!failure); });
+    attempt->timer.expires_after(probeTimeout);
+    attempt->timer.async_wait([finish](const boost::system::error_code &cancelled) {
+        if (!cancelled)
+            finish(true); // Silence is no proof of a crash.
+    });
+}
+
+void ServiceNode::Private::readSettings()
+{
+    const std::optional<ServiceNodeSettings> changed = settingsReader();
+    if (!changed || changed->callerService == settings.callerService)
+        return;
+    settings.callerService = changed->callerService;
+    proxy->post(SettingsChanged{settings.callerService});
+    log.write(LogClass::Process, "settings-reloaded", {{"service", settings.callerService.value()}},
+              monotonicNow());
+}
+
+void ServiceNode::Private::keepHouse()
+{
+    const TimePoint now = monotonicNow();
+    if (now >= nextSettings) {
+        nextSettings = now + settingsInterval;
+        readSettings();
+    }
+    log.flush();
+    if (stopTime) {
+        const Duration stopping = now - *stopTime;
+        const bool isDone = stopping >= shortestStop && proxy->isIdle();
+        if (isDone || stopping >= settings.stopBound - stopMargin) {
+            loop.stop();
+            return;
+        }
+    }
+    timer.expires_after(housekeepingInterval);
+    timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            keepHouse();
+    });
+}
+
+void ServiceNode::Private::beginStop()
+{
+    const TimePoint now = monotonicNow();
+    stopTime = now;
+    log.write(LogClass::Process, "stopping", {{"instance", settings.instance.value()}}, now);
+    callers->post(DoorClosing{});
+    proxy->post(StopWanted{});
+    if (store)
+        store->post(RemoveSelf{});
+}
+
+Result<std::unique_ptr<ServiceNode>> ServiceNode::create(const ServiceNodeSettings &settings,
+                                                         const Adapter &adapter,
+                                                         SettingsReader reader)
+{
+    auto d = std::make_unique<Private>(settings, adapter, std::move(reader));
+    const Result<void> opened = d->open();
+    if (!opened)
+        return opened.error();
+    d->startTasks();
+    return std::unique_ptr<ServiceNode>(new ServiceNode(std::move(d)));
+}
+
+ServiceNode::ServiceNode(std::unique_ptr<Private> d)
+    : m_d(std::move(d))
+{}
+
+ServiceNode::~ServiceNode() = default;
+
+void ServiceNode::run()
+{
+    m_d->log.write(LogClass::Process, "started", {{"instance", m_d->settings.instance.value()}},
+                   monotonicNow());
+    m_d->signals.add(SIGTERM);
+    m_d->signals.add(SIGINT);
+    m_d->signals.add(SIGHUP);
+    std::function<void()> awaitSignal = [this, &awaitSignal] {
+        m_d->signals.async_wait(
+                [this, &awaitSignal](const boost::system::error_code &error, int signal) {
+                    if (error)
+                        return;
+                    if (signal == SIGHUP)
+                        m_d->readSettings();
+                    else if (!m_d->stopTime)
+                        m_d->beginStop();
+                    awaitSignal();
+                });
+    };
+    awaitSignal();
+    m_d->keepHouse();
+    m_d->loop.run();
+    m_d->log.write(LogClass::Process, "stopped", {{"instance", m_d->settings.instance.value()}},
+                   monotonicNow());
+    m_d->log.flush();
+}
+
+} // namespace buckthornford
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -26,25 +26,25 @@
     return true;
 }
 
-double &RetryRatio::credit(const CallerName &caller)
+double &RetryRatio::credit(const std::string &scope)
 {
-    const auto found = m_credit.find(caller);
+    const auto found = m_credit.find(scope);
     if (found != m_credit.end())
         return found->second;
     // Strangers past the bound share one credit, so that made-up names gain nothing.
-    const bool isFull = m_credit.size() >= maxCallers;
-    return m_credit.try_emplace(isFull ? CallerName{} : caller, m_settings.burst).first->second;
+    const bool isFull = m_credit.size() >= maxScopes;
+    return m_credit.try_emplace(isFull ? std::string() : scope, m_settings.burst).first->second;
 }
 
-void RetryRatio::recordRequest(const CallerName &caller)
+void RetryRatio::recordRequest(const std::string &scope)
 {
-    double &saved = credit(caller);
+    double &saved = credit(scope);
     saved = std::min(m_settings.burst, saved + m_settings.ratio);
 }
 
-bool RetryRatio::spend(const CallerName &caller)
+bool RetryRatio::spend(const std::string &scope)
 {
-    double &saved = credit(caller);
+    double &saved = credit(scope);
     if (saved < 1.0)
         return false;
     saved -= 1.0;
@@ -73,6 +73,13 @@
     return RetryChoice::Stop;
 }
 
+RetryChoice chooseRetryWithoutKeys(const AttemptEnd &end)
+{
+    const bool isSafe = end.outcome == Outcome::NotRun
+                        || (end.idempotent && end.outcome != Outcome::Completed);
+    return isSafe && end.retryable ? RetryChoice::RetryAnother : RetryChoice::Stop;
+}
+
 RetryChoice chooseRetryNaively(const AttemptEnd &end)
 {
     return end.outcome == Outcome::Completed ? RetryChoice::Stop : RetryChoice::RetryAnother;
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -36,33 +36,36 @@
     std::uint32_t m_tokens = 0;
 };
 
-/// Caps each caller's retries to a share of its requests. As each node holds the share, the
-/// fleet holds it too.
+/// Caps the retries of each scope, such as a caller or a service, to a share of its requests. As
+/// each node holds the share, the fleet holds it too.
 class RetryRatio
 {
 public:
     struct Settings
     {
         double ratio = 0.1;  ///< retries earned by one request
-        double burst = 20.0; ///< retries that a caller may save up
+        double burst = 20.0; ///< retries that a scope may save up
     };
 
     explicit RetryRatio(Settings settings)
         : m_settings(settings)
     {}
 
-    void recordRequest(const CallerName &caller);
+    void recordRequest(const std::string &scope);
 
-    /// Takes one retry of \a caller. Returns whether there was one.
-    bool spend(const CallerName &caller);
+    /// Takes one retry of \a scope. Returns whether there was one.
+    bool spend(const std::string &scope);
+
+    /// Sets the share and the savings, for what is saved from now on.
+    void set(Settings settings) { m_settings = settings; }
 
 private:
-    static constexpr std::size_t maxCallers = 4096;
+    static constexpr std::size_t maxScopes = 4096;
 
-    double &credit(const CallerName &caller);
+    double &credit(const std::string &scope);
 
     Settings m_settings;
-    std::unordered_map<CallerName, double> m_credit;
+    std::unordered_map<std::string, double> m_credit;
 };
 
 /// What may be done after an attempt has ended.
@@ -87,6 +90,10 @@
 /// Whether and how to go on; \see ChainBudget for the right to do so.
 RetryChoice chooseRetry(const AttemptEnd &end);
 
+/// For work without keys: what was not run may go to another target, what may have run is sent
+/// again only if it is idempotent.
+RetryChoice chooseRetryWithoutKeys(const AttemptEnd &end);
+
 /// The naive baseline: any failure is sent again to another target.
 RetryChoice chooseRetryNaively(const AttemptEnd &end);
 
--- a/src/retry/tests/test_retry.cpp
+++ b/src/retry/tests/test_retry.cpp
@@ -42,7 +42,7 @@
 BOOST_AUTO_TEST_CASE(callersRetriesAreAShareOfTheirRequests)
 {
     RetryRatio ratio({0.1, 5.0});
-    const CallerName caller{"dealers"};
+    const std::string caller{"dealers"};
     int retries = 0;
     for (int i = 0; i < 1000; ++i) {
         ratio.recordRequest(caller);
@@ -51,7 +51,7 @@
     }
     BOOST_TEST(retries <= 105);
     BOOST_TEST(retries >= 95);
-    BOOST_TEST(ratio.spend(CallerName{"auditors"}));
+    BOOST_TEST(ratio.spend(std::string{"auditors"}));
 }
 
 BOOST_AUTO_TEST_CASE(whatMayHaveRunIsNeverSentElsewhere)
--- /dev/null
+++ b/src/routing/measuring.cpp
@@ -0,0 +1,216 @@
+#include "routing/measuring_p.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace buckthornford {
+
+namespace {
+
+constexpr std::size_t subsetSize = 16; ///< targets of a service that one node uses, per reach
+constexpr double stretchWeight = 0.3;  ///< of a new sample
+constexpr double delayWeight = 0.1;    ///< of a new sample
+constexpr double failureWeight = 0.05; ///< of a new sample
+constexpr double maxStretch = 50.0;
+constexpr double recoverySeconds = 2.0; ///< time constant with which an unused target recovers
+constexpr Duration minUnreachable = std::chrono::milliseconds(250);
+constexpr Duration maxUnreachable = std::chrono::seconds(4);
+constexpr double meanWeight = 0.05;
+constexpr double microsecondsPerSecond = 1e6;
+
+Reach reachOf(const Target &target, const Place &place)
+{
+    if (target.zone == place.zone)
+        return Reach::Zone;
+    return target.region == place.region ? Reach::Region : Reach::World;
+}
+
+} // namespace
+
+void OperationLatency::record(Duration latency)
+{
+    constexpr double upStep = 0.05;
+    constexpr double downStep = upStep * 5.0 / 95.0; // balances at the 95th percentile
+    const auto sample = static_cast<double>(latency.count());
+    if (m_mean == 0.0) {
+        m_mean = sample;
+        m_slow = 2.0 * sample;
+        return;
+    }
+    m_mean += meanWeight * (std::min(sample, maxStretch * m_mean) - m_mean);
+    m_slow *= sample > m_slow ? 1.0 + upStep : 1.0 - downStep;
+}
+
+MeasuringRouter::MeasuringRouter(Place place, std::uint64_t seed)
+    : m_place(std::move(place))
+    , m_random(seed)
+{}
+
+void MeasuringRouter::setTargets(const std::vector<Target> &targets, TimePoint now)
+{
+    std::unordered_map<InstanceId, State> states;
+    for (const Target &target : targets) {
+        const auto old = m_states.find(target.peer.instance);
+        State state;
+        // A new incarnation starts with a clean sheet.
+        if (old != m_states.end() && old->second.target.peer.incarnation == target.peer.incarnation)
+            state = std::move(old->second);
+        else
+            state.knownSince = now;
+        state.target = target;
+        state.reach = reachOf(target, m_place);
+        states.emplace(target.peer.instance, std::move(state));
+    }
+    m_states = std::move(states);
+    rebuildSubsets();
+}
+
+void MeasuringRouter::rebuildSubsets()
+{
+    for (auto &[name, service] : m_services)
+        service.subset.clear();
+    for (const auto &[id, state] : m_states)
+        m_services[state.target.service].subset[state.reach].push_back(id);
+    // Each node uses the targets with the highest hash for it, so that loads spread evenly.
+    const auto rank = [this](const InstanceId &id) {
+        return checksum(m_place.self.value() + "/" + id.value());
+    };
+    for (auto &[name, service] : m_services) {
+        for (auto &[reach, ids] : service.subset) {
+            std::sort(ids.begin(), ids.end(), [&rank](const auto &a, const auto &b) {
+                return std::pair(rank(a), a) > std::pair(rank(b), b);
+            });
+            ids.resize(std::min(ids.size(), subsetSize));
+        }
+    }
+}
+
+bool MeasuringRouter::knowsService(const ServiceName &service) const
+{
+    return m_services.contains(service);
+}
+
+std::vector<MeasuringRouter::State *> MeasuringRouter::candidates(const Service &service,
+                                                                  Reach reach,
+                                                                  const PickRequest &request,
+                                                                  TimePoint now)
+{
+    std::vector<State *> found;
+    const auto ids = service.subset.find(reach);
+    if (ids == service.subset.end())
+        return found;
+    for (const InstanceId &id : ids->second) {
+        State &state = m_states.at(id);
+        const bool isExcluded = std::find(request.exclude.begin(), request.exclude.end(), id)
+                                != request.exclude.end();
+        const bool isLastResort = now == TimePoint::max();
+        const bool isUsable = state.unreachableUntil <= now && !state.target.suspected;
+        if (!isExcluded && (isUsable || isLastResort))
+            found.push_back(&state);
+    }
+    return found;
+}
+
+double MeasuringRouter::stretchNow(const State &state, const Service &service,
+                                   const OperationName &operation, TimePoint now) const
+{
+    const double idle
+            = static_cast<double>((now - state.stretchTime).count()) / microsecondsPerSecond;
+    const double remembered = 1.0 + (state.stretch - 1.0) * std::exp(-idle / recoverySeconds);
+    const auto latency = service.latencies.find(operation);
+    if (state.inFlight.empty() || latency == service.latencies.end())
+        return remembered;
+    const auto waited = static_cast<double>((now - *state.inFlight.begin()).count());
+    const double pending = waited / std::max(1.0, latency->second.mean());
+    return std::max(remembered, std::min(maxStretch, pending / 2.0));
+}
+
+MeasuringRouter::State *MeasuringRouter::lastResort(const Service &service,
+                                                    const PickRequest &request)
+{
+    State *best = nullptr;
+    for (const Reach reach : reaches) {
+        // At the end of time every target counts as reachable again.
+        for (State *state : candidates(service, reach, request, TimePoint::max())) {
+            if (best == nullptr || state->unreachableUntil < best->unreachableUntil)
+                best = state;
+        }
+    }
+    return best;
+}
+
+void MeasuringRouter::onSent(const InstanceId &target, TimePoint now)
+{
+    const auto found = m_states.find(target);
+    if (found != m_states.end())
+        found->second.inFlight.insert(now);
+}
+
+void MeasuringRouter::noteFailure(State *state, bool hasFailed)
+{
+    state->failureShare += failureWeight * ((hasFailed ? 1.0 : 0.0) - state->failureShare);
+}
+
+void MeasuringRouter::onEnd(const InstanceId &target, const AttemptReport &report, TimePoint now)
+{
+    using End = AttemptReport::End;
+    const auto found = m_states.find(target);
+    if (found == m_states.end())
+        return;
+    State &state = found->second;
+    const auto sent = state.inFlight.find(report.sent);
+    if (sent != state.inFlight.end())
+        state.inFlight.erase(sent);
+    if (report.end == End::Refused || report.end == End::Dropped)
+        return;
+    noteFailure(&state, report.end != End::Answered);
+    if (report.end == End::Failed)
+        return;
+    if (report.end == End::Answered)
+        state.unreachableSpan = Duration{0};
+    const bool isMeasured = report.serviceTime > Duration{0};
+    const Duration spent = isMeasured ? report.serviceTime : report.latency;
+    OperationLatency &typical = m_services[state.target.service].latencies[report.operation];
+    if (report.end == End::Answered)
+        typical.record(spent);
+    if (isMeasured) {
+        const auto delay = static_cast<double>((report.latency - report.serviceTime).count());
+        state.networkDelay
+                += (state.networkDelay == 0.0 ? 1.0 : delayWeight) * (delay - state.networkDelay);
+    }
+    const double sample = static_cast<double>(spent.count()) / std::max(1.0, typical.mean());
+    state.stretch += stretchWeight * (std::min(sample, maxStretch) - state.stretch);
+    state.stretchTime = now;
+}
+
+void MeasuringRouter::onReport(const InstanceId &target, const LoadReport &report, TimePoint now)
+{
+    const auto found = m_states.find(target);
+    if (found == m_states.end())
+        return;
+    found->second.report = report;
+    found->second.reportTime = now;
+}
+
+void MeasuringRouter::onUnreachable(const InstanceId &target, TimePoint now)
+{
+    const auto found = m_states.find(target);
+    if (found == m_states.end())
+        return;
+    State &state = found->second;
+    state.unreachableSpan = std::clamp(2 * state.unreachableSpan, minUnreachable, maxUnreachable);
+    state.unreachableUntil = now + state.unreachableSpan;
+}
+
+Duration MeasuringRouter::slowLatency(const ServiceName &service,
+                                      const OperationName &operation) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return Duration{0};
+    const auto latency = found->second.latencies.find(operation);
+    return latency == found->second.latencies.end() ? Duration{0} : latency->second.slow();
+}
+
+} // namespace buckthornford
--- a/src/routing/round_robin.cpp
+++ b/src/routing/round_robin.cpp
@@ -1,5 +1,6 @@
 #include "routing/round_robin_p.h"
 
+#include "routing/least_cost_p.h"
 #include "routing/two_choices_p.h"
 
 #include <algorithm>
@@ -41,12 +42,15 @@
 using CreateFunction = std::unique_ptr<Router> (*)(const Place &place, std::uint64_t seed);
 
 /// In the order of RouterKind.
-constexpr std::array<CreateFunction, 2> createFunctions{
+constexpr std::array<CreateFunction, 3> createFunctions{
         [](const Place &, std::uint64_t) -> std::unique_ptr<Router> {
             return std::make_unique<RoundRobinRouter>();
         },
         [](const Place &place, std::uint64_t seed) -> std::unique_ptr<Router> {
             return std::make_unique<TwoChoicesRouter>(place, seed);
+        },
+        [](const Place &place, std::uint64_t seed) -> std::unique_ptr<Router> {
+            return std::make_unique<LeastCostRouter>(place, seed);
         }};
 
 } // namespace
--- a/src/routing/round_robin_p.h
+++ b/src/routing/round_robin_p.h
@@ -11,7 +11,7 @@
     void setTargets(const std::vector<Target> &targets, TimePoint now) override;
     Result<Pick> pick(const PickRequest &request, TimePoint now) override;
     void onSent(const InstanceId &, TimePoint) override {}
-    void onEnd(const InstanceId &, const OperationName &, Duration, bool, TimePoint) override {}
+    void onEnd(const InstanceId &, const AttemptReport &, TimePoint) override {}
     void onReport(const InstanceId &, const LoadReport &, TimePoint) override {}
     void onUnreachable(const InstanceId &, TimePoint) override {}
     bool knowsService(const ServiceName &service) const override;
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -53,6 +53,24 @@
     double spillShare = 0.0;         ///< of requests that may leave the region
 };
 
+/// How an attempt at a target went, as the entry saw it.
+struct AttemptReport
+{
+    enum class End {
+        Answered, ///< by the upstream, with success
+        Failed,   ///< by the upstream, or lost on the way
+        Refused,  ///< by the target's node or the upstream; says nothing of its speed
+        Late,     ///< given up at the deadline
+        Dropped,  ///< not needed any more
+    };
+
+    OperationName operation;
+    TimePoint sent;
+    Duration latency{0};
+    Duration serviceTime{0}; ///< queueing and work at the target; 0 if not known
+    End end = End::Answered;
+};
+
 /// Chooses targets. Own measurements come first; reports of others age and only ever make a
 /// target look worse.
 class Router
@@ -69,10 +87,7 @@
 
     virtual void onSent(const InstanceId &target, TimePoint now) = 0;
 
-    /// An attempt ended after \a latency; \a answered is false for losses and refusals.
-    virtual void onEnd(const InstanceId &target, const OperationName &operation, Duration latency,
-                       bool answered, TimePoint now)
-            = 0;
+    virtual void onEnd(const InstanceId &target, const AttemptReport &report, TimePoint now) = 0;
     virtual void onReport(const InstanceId &target, const LoadReport &report, TimePoint now) = 0;
 
     /// The target can't be reached; it is left out for a while.
@@ -85,7 +100,7 @@
                                  const OperationName &operation) const = 0;
 };
 
-enum class RouterKind { RoundRobin, TwoChoices };
+enum class RouterKind { RoundRobin, TwoChoices, LeastCost };
 
 /// Creates a router; \a seed makes its random choices repeatable.
 std::unique_ptr<Router> createRouter(RouterKind kind, const Place &place, std::uint64_t seed);
--- a/src/routing/tests/test_routing.cpp
+++ b/src/routing/tests/test_routing.cpp
@@ -63,7 +63,10 @@
         while (!pending.empty() && pending.begin()->first <= now) {
             const std::string name = pending.begin()->second;
             const Duration latency = std::chrono::milliseconds(name == slowName ? 100 : 10);
-            router->onEnd(InstanceId{name}, operation, latency, true, at(now));
+            router->onEnd(InstanceId{name},
+                          {operation, at(now) - latency, latency, Duration{0},
+                           AttemptReport::End::Answered},
+                          at(now));
             pending.erase(pending.begin());
         }
         const auto pick = router->pick(request(), at(now));
@@ -73,7 +76,9 @@
         pending.emplace(now + (name == slowName ? 100 : 10), name);
     }
     for (const auto &[time, name] : pending)
-        router->onEnd(InstanceId{name}, operation, std::chrono::milliseconds(10), true,
+        router->onEnd(InstanceId{name},
+                      {operation, at(time - (name == slowName ? 100 : 10)),
+                       std::chrono::milliseconds(10), Duration{0}, AttemptReport::End::Answered},
                       at(begin + count));
     return picks;
 }
--- a/src/routing/two_choices_p.h
+++ b/src/routing/two_choices_p.h
@@ -1,78 +1,25 @@
 #pragma once
 
-#include "routing/routing.h"
-
-#include <deque>
+#include "routing/measuring_p.h"
 
 namespace buckthornford {
 
-/// Latency of one operation of a service over all targets.
-class OperationLatency
-{
-public:
-    void record(Duration latency);
-    double mean() const { return m_mean; } ///< microseconds
-    Duration slow() const { return Duration{static_cast<Duration::rep>(m_slow)}; }
-
-private:
-    double m_mean = 0.0;
-    double m_slow = 0.0; ///< estimate of the 95th percentile
-};
-
 /// Two random choices over a bounded subset, near targets first.
-class TwoChoicesRouter : public Router
+class TwoChoicesRouter : public MeasuringRouter
 {
 public:
-    TwoChoicesRouter(Place place, std::uint64_t seed);
+    using MeasuringRouter::MeasuringRouter;
 
-    void setTargets(const std::vector<Target> &targets, TimePoint now) override;
     Result<Pick> pick(const PickRequest &request, TimePoint now) override;
-    void onSent(const InstanceId &target, TimePoint now) override;
-    void onEnd(const InstanceId &target, const OperationName &operation, Duration latency,
-               bool answered, TimePoint now) override;
-    void onReport(const InstanceId &target, const LoadReport &report, TimePoint now) override;
-    void onUnreachable(const InstanceId &target, TimePoint now) override;
-    bool knowsService(const ServiceName &service) const override;
-    Duration slowLatency(const ServiceName &service, const OperationName &operation) const override;
 
 private:
-    struct State
-    {
-        Target target;
-        Reach reach = Reach::World;
-        std::multiset<TimePoint> inFlight; ///< when each attempt was sent
-        double stretch = 1.0;              ///< own latency over the operation's mean
-        TimePoint stretchTime;
-        LoadReport report;
-        TimePoint reportTime;
-        TimePoint unreachableUntil;
-        Duration unreachableSpan{0};
-    };
-    struct Service
-    {
-        std::map<Reach, std::vector<InstanceId>> subset;
-        std::map<OperationName, OperationLatency> latencies;
-        double spillCredit = 0.0;
-    };
-
-    void rebuildSubsets();
-    std::vector<State *> candidates(const Service &service, Reach reach, const PickRequest &request,
-                                    TimePoint now);
-    State *choose(const std::vector<State *> &candidates, const Service &service,
+    State *choose(const std::vector<State *> &from, const Service &service,
                   const OperationName &operation, TimePoint now);
     double score(const State &state, const Service &service, const OperationName &operation,
                  TimePoint now) const;
-    double stretchNow(const State &state, const Service &service, const OperationName &operation,
-                      TimePoint now) const;
     bool hasQueue(const State &state, TimePoint now) const;
     bool isOverloaded(const State &state, TimePoint now) const;
-    State *lastResort(const Service &service, const PickRequest &request);
     bool maySpill(Service *service, const PickRequest &request);
-
-    Place m_place;
-    std::mt19937_64 m_random;
-    std::unordered_map<InstanceId, State> m_states;
-    std::unordered_map<ServiceName, Service> m_services;
 };
 
 } // namespace buckthornford
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,95 @@
+#pragma once
+
+/// The task that keeps in touch with the platform's store: the operator's configuration, and the
+/// rows by which nodes that know no other find each other.
+
+#include "http1/http1.h"
+#include "proxy/adapter.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <variant>
+
+namespace buckthornford {
+
+/// This node is found at \a value from now on.
+struct PutSelf
+{
+    std::string key;
+    std::string value;
+};
+
+/// The process stops: its row is removed.
+struct RemoveSelf
+{};
+
+/// Whether other nodes are known; one that knows none keeps asking the store.
+struct CompanyChanged
+{
+    bool isAlone = true;
+};
+
+using StoreMessage = std::variant<PutSelf, RemoveSelf, CompanyChanged>;
+
+/// Whom the task tells of what it reads.
+struct StoreOutputs
+{
+    std::function<void(std::string)> configuration;
+    std::function<void(std::vector<StoredRow>)> nodes;
+    std::function<void(bool)> reachable; ///< the store was lost, or is back
+};
+
+class StoreTask : public LoopTask<StoreMessage>
+{
+public:
+    StoreTask(EventLoop *loop, const Endpoint &store, std::shared_ptr<const StoreDialect> dialect,
+              std::uint64_t seed, StoreOutputs outputs);
+    ~StoreTask() override;
+
+    std::uint64_t callCount() const { return m_calls; }
+
+protected:
+    void handle(StoreMessage &&message, TimePoint now) override;
+    TimePoint tick(TimePoint now) override;
+
+private:
+    /// A call that is made until it succeeds, with growing pauses.
+    struct Errand
+    {
+        bool isWanted = false;
+        bool isRunning = false;
+        TimePoint due;
+        TimePoint timeout;
+        Duration pause{0};
+        std::shared_ptr<ClientConnection> connection;
+        std::uint64_t number = 0; ///< of the call in progress
+    };
+    enum ErrandKind : std::size_t { Configuration, Node, Listing, errandCount };
+
+    void on(PutSelf &&message, TimePoint now);
+    void on(RemoveSelf &&message, TimePoint now);
+    void on(CompanyChanged &&message, TimePoint now);
+
+    void begin(ErrandKind kind, TimePoint now);
+    void end(ErrandKind kind, const StoreAnswer &answer, TimePoint now);
+    void fail(ErrandKind kind, TimePoint now);
+    ClientRequest requestFor(ErrandKind kind) const;
+    void takeConfiguration(const StoreAnswer &answer);
+    void noteReachable(bool isReachable);
+
+    Endpoint m_store;
+    std::shared_ptr<const StoreDialect> m_dialect;
+    std::mt19937_64 m_random;
+    StoreOutputs m_outputs;
+    Errand m_errands[errandCount];
+    std::uint64_t m_version = 0; ///< of the store, up to which the configuration is known
+    bool m_isWatching = false;   ///< the configuration was read, its changes are awaited
+    std::optional<PutSelf> m_self;
+    bool m_isLeaving = false;
+    bool m_isAlone = true;
+    std::optional<bool> m_isReachable;
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace buckthornford
