--- a/src/call/call.h
+++ b/src/call/call.h
@@ -34,8 +34,8 @@
     std::string key; ///< idempotency key; empty if none
     std::string contentType;
     std::string body;
-    std::string target;  ///< request target as the caller sent it; empty if made from operation
-    HttpHeaders headers; ///< end-to-end fields to pass on
+    std::string target{};  ///< request target as the caller sent it; empty if made from operation
+    HttpHeaders headers{}; ///< end-to-end fields to pass on
 };
 
 /// Asks a target's node to run work.
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -152,7 +152,7 @@
 void MeshTask::onFrame(MeshStream *stream, Frame frame)
 {
     if (stream->isOutgoing())
-        m_events->onPeerFrame(stream->peer().instance, std::move(frame));
+        m_events->onPeerFrame(stream->peer(), std::move(frame));
     else
         m_events->onChannelFrame(stream->channel(), stream->peer(), std::move(frame));
 }
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -36,7 +36,7 @@
     virtual ~MeshEvents() = default;
 
     /// A frame on this node's own stream to \a peer.
-    virtual void onPeerFrame(const InstanceId &peer, Frame frame) = 0;
+    virtual void onPeerFrame(const PeerRef &peer, Frame frame) = 0;
 
     /// This node's stream to \a peer has ended; \a wasOpen if the peer had greeted before, so
     /// that what was sent may have arrived.
--- a/src/node/operator_door.cpp
+++ b/src/node/operator_door.cpp
@@ -86,7 +86,7 @@
 
 HttpResponse OperatorDoor::handle(const HttpRequest &request)
 {
-    struct Route
+    struct DoorRoute
     {
         std::string_view method;
         std::string_view path;
@@ -94,43 +94,43 @@
     };
     using About = Question::About;
     static constexpr std::array routes{
-            Route{"GET", "/status",
-                  [](OperatorDoor *door, const HttpRequest &) {
-                      return door->ask(About::Status, "application/json");
-                  }},
-            Route{"GET", "/metrics",
-                  [](OperatorDoor *door, const HttpRequest &) {
-                      return door->ask(About::Metrics, "text/plain; version=0.0.4");
-                  }},
-            Route{"GET", "/spans",
-                  [](OperatorDoor *door, const HttpRequest &) {
-                      return door->ask(About::Spans, "application/x-ndjson");
-                  }},
-            Route{"GET", "/configuration",
-                  [](OperatorDoor *door, const HttpRequest &) {
-                      return door->ask(About::Configuration, "application/json");
-                  }},
-            Route{"GET", "/members",
-                  [](OperatorDoor *door, const HttpRequest &) { return door->members(); }},
-            Route{"POST", "/configuration",
-                  [](OperatorDoor *door, const HttpRequest &change) {
-                      return door->change(change);
-                  }},
-            Route{"POST", "/drain",
-                  [](OperatorDoor *door, const HttpRequest &) { return door->drain(true); }},
-            Route{"GET", "/poison",
-                  [](OperatorDoor *door, const HttpRequest &) {
-                      return door->ask(About::Poison, "application/json");
-                  }},
-            Route{"POST", "/poison/release",
-                  [](OperatorDoor *door, const HttpRequest &release) {
-                      return door->releasePoison(release);
-                  }},
-            Route{"POST", "/undrain",
-                  [](OperatorDoor *door, const HttpRequest &) { return door->drain(false); }},
+            DoorRoute{"GET", "/status",
+                      [](OperatorDoor *door, const HttpRequest &) {
+                          return door->ask(About::Status, "application/json");
+                      }},
+            DoorRoute{"GET", "/metrics",
+                      [](OperatorDoor *door, const HttpRequest &) {
+                          return door->ask(About::Metrics, "text/plain; version=0.0.4");
+                      }},
+            DoorRoute{"GET", "/spans",
+                      [](OperatorDoor *door, const HttpRequest &) {
+                          return door->ask(About::Spans, "application/x-ndjson");
+                      }},
+            DoorRoute{"GET", "/configuration",
+                      [](OperatorDoor *door, const HttpRequest &) {
+                          return door->ask(About::Configuration, "application/json");
+                      }},
+            DoorRoute{"GET", "/members",
+                      [](OperatorDoor *door, const HttpRequest &) { return door->members(); }},
+            DoorRoute{"POST", "/configuration",
+                      [](OperatorDoor *door, const HttpRequest &change) {
+                          return door->change(change);
+                      }},
+            DoorRoute{"POST", "/drain",
+                      [](OperatorDoor *door, const HttpRequest &) { return door->drain(true); }},
+            DoorRoute{"GET", "/poison",
+                      [](OperatorDoor *door, const HttpRequest &) {
+                          return door->ask(About::Poison, "application/json");
+                      }},
+            DoorRoute{"POST", "/poison/release",
+                      [](OperatorDoor *door, const HttpRequest &release) {
+                          return door->releasePoison(release);
+                      }},
+            DoorRoute{"POST", "/undrain",
+                      [](OperatorDoor *door, const HttpRequest &) { return door->drain(false); }},
     };
     bool isKnownPath = false;
-    for (const Route &route : routes) {
+    for (const DoorRoute &route : routes) {
         if (route.path != request.path)
             continue;
         if (route.method == request.method)
--- a/src/poison/poison.cpp
+++ b/src/poison/poison.cpp
@@ -6,8 +6,8 @@
 {
     constexpr char separator = '\n';
     std::string text = work.service.value();
-    for (const std::string *part : {&work.operation.value(), &work.method, &work.query,
-                                    &work.target, &work.caller.value(), &work.body})
+    for (const std::string *part :
+         {&work.operation.value(), &work.method, &work.query, &work.target, &work.body})
         text.append(1, separator).append(*part);
     return ContentHash{checksum(text)};
 }
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -56,7 +56,7 @@
     void onRequest(DoorRequest request) override { proxy->post(CallArrived{std::move(request)}); }
     void onLeft(RequestId id) override { proxy->post(CallerGone{id}); }
 
-    void onPeerFrame(const InstanceId &peer, Frame frame) override;
+    void onPeerFrame(const PeerRef &peer, Frame frame) override;
     void onPeerEnded(const InstanceId &peer, bool wasOpen) override;
     void onChannelFrame(ChannelId channel, const PeerRef &from, Frame frame) override;
     void onChannelClosed(ChannelId channel) override { proxy->post(ChannelEnded{channel}); }
@@ -224,15 +224,13 @@
     store->post(PutSelf{settings.instance.value(), self.address});
 }
 
-void ServiceNode::Private::onPeerFrame(const InstanceId &peer, Frame frame)
+void ServiceNode::Private::onPeerFrame(const PeerRef &peer, Frame frame)
 {
     if (auto *news = std::get_if<Gossip>(&frame)) {
-        PeerRef from;
-        from.instance = peer;
-        gossip->post(GossipArrived{std::move(from), std::nullopt, std::move(*news)});
+        gossip->post(GossipArrived{peer, std::nullopt, std::move(*news)});
         return;
     }
-    proxy->post(PeerAnswered{peer, std::move(frame)});
+    proxy->post(PeerAnswered{peer.instance, std::move(frame)});
 }
 
 void ServiceNode::Private::onPeerEnded(const InstanceId &peer, bool wasOpen)
