--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -95,7 +95,8 @@
     run.timeLeft = call->deadline - now - answerMargin;
     run.age = now - call->entered;
     const bool keepsLast = hasCallersKey && call->budget.tokens() == Tokens{1};
-    run.budget = keepsLast ? Tokens{0} : call->budget.lend();
+    const bool lends = m_settings.policy.lendsBudget && !keepsLast;
+    run.budget = lends ? call->budget.lend() : Tokens{0};
     run.depth = call->depth;
     run.revision = call->revision;
     run.trace = call->trace;
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -21,6 +21,7 @@
     : m_settings(std::move(settings))
     , m_router(createRouter(m_settings.policy.router, m_settings.place, m_settings.seed))
     , m_ratio(m_settings.ratio)
+    , m_random(m_settings.seed)
 {}
 
 void Entry::setView(const std::vector<Target> &targets, std::vector<DirectoryEntry> directory,
@@ -142,8 +143,10 @@
         return;
     m_hedgeCredit = std::min(hedgeBurst, m_hedgeCredit + call.hedgeShare);
     const Duration slow = m_router->slowLatency(call.work.service, call.work.operation);
+    const Duration soonest = std::max(
+            minHedgeDelay, scaled(call.deadline - now, m_settings.policy.hedgeAfterShare));
     if (slow > Duration{0})
-        m_timers.emplace(now + std::max(slow, minHedgeDelay), Timer{call.id, false});
+        m_timers.emplace(now + std::max(slow, soonest), Timer{call.id, false});
 }
 
 EntryActions Entry::cancel(RequestId id, TimePoint now, WallTime wall)
@@ -185,6 +188,16 @@
     finish(call, std::move(answer), actions, now, wall);
 }
 
+/// When a caller that was turned away should come again: soon enough to be served in time, and
+/// spread, so that those turned away together don't come back together.
+Duration Entry::returnDelay(const Call &call, TimePoint now)
+{
+    const Duration left = call.deadline - now;
+    const Duration longest = std::min(m_settings.policy.returnWithin, left / 3);
+    std::uniform_real_distribution<double> spread(0.3, 1.0);
+    return longest > Duration{0} ? scaled(longest, spread(m_random)) : Duration{0};
+}
+
 const std::string &Entry::ratioScope(const Call &call) const
 {
     return m_settings.policy.ratioPerService ? call.work.service.value() : call.work.caller.value();
@@ -207,6 +220,8 @@
     }
     if (answer.outcome == Outcome::NotRun && (call->mayHaveRun || !call->open.empty()))
         answer.outcome = Outcome::Unknown;
+    if (answer.outcome == Outcome::NotRun)
+        answer.retryAfter = returnDelay(*call, now);
     const auto chain = call->parent ? m_chains.find(*call->parent) : m_chains.end();
     if (chain != m_chains.end()) {
         chain->second.budget.giveBack(call->budget.tokens());
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -73,6 +74,13 @@
     /// refusal costs no retry.
     std::uint32_t freePlacements = 0;
     bool ratioPerService = false; ///< in place of one for each caller
+    /// Whether retries are lent to the part of the chain below. Not where upstreams make their
+    /// calls without the context of the request: nothing would come back.
+    bool lendsBudget = true;
+    double hedgeAfterShare = 0.0; ///< of the time that the caller gives, the soonest for a hedge
+    /// Longest time after which a caller who is turned away unserved is asked to come again;
+    /// 0 to leave it to the caller.
+    Duration returnWithin{0};
 };
 
 struct EntrySettings
@@ -207,6 +215,7 @@
               EntryActions *actions, TimePoint now, WallTime wall);
     bool mayRetry(Call *call, RetryChoice choice, bool wasOffered);
     const std::string &ratioScope(const Call &call) const;
+    Duration returnDelay(const Call &call, TimePoint now);
     bool isPoisonous(const Work &work) const;
     void finish(Call *call, Answer answer, EntryActions *actions, TimePoint now, WallTime wall);
     void finishRefused(Call *call, Error reason, Outcome outcome, EntryActions *actions,
@@ -224,6 +233,7 @@
     std::unordered_map<ExecutionId, Chain> m_chains;
     std::multimap<TimePoint, Timer> m_timers;
     double m_hedgeCredit = 0.0;
+    std::mt19937_64 m_random;
     std::uint64_t m_retries = 0;
 };
 
--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -9,6 +9,8 @@
 
 constexpr Duration reportLife = std::chrono::seconds(2);
 constexpr int firstClientError = 400;
+/// Of the expected cost: with less time left, work hardly ever ends.
+constexpr double chanceShare = 0.4;
 constexpr int firstServerError = 500;
 
 /// What one end at the upstream means for the caller.
@@ -169,7 +171,12 @@
 
 bool Gate::isHopeless(const Claim &claim, TimePoint now) const
 {
-    return now + m_costs.cautious(claim.operation) >= claim.deadline;
+    // While others wait, a slot goes to work that will probably end in time; else a fair chance
+    // is better than none.
+    const bool isContended = m_queue.size() > 0 || !m_settings.policy.chancesLate;
+    const Duration needed = isContended ? m_costs.cautious(claim.operation)
+                                        : scaled(m_costs.expected(claim.operation), chanceShare);
+    return now + needed >= claim.deadline;
 }
 
 bool Gate::mayStart(const Claim &claim, TimePoint now) const
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -26,6 +26,7 @@
     bool keepsRecord = true;   ///< keyed requests run at most once
     bool dropsHopeless = true; ///< what can't meet its deadline never takes a slot
     bool reservesShort = true; ///< long work leaves slots to short work
+    bool chancesLate = false;  ///< without contention, runs what will hardly end in time
     /// Share of the class's objective for which a request may wait here; 0 for no bound.
     double patienceShare = 0.0;
 };
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -197,6 +197,10 @@
     proxySettings.entry.usesKeys = false;
     proxySettings.entry.freePlacements = 4;
     proxySettings.entry.ratioPerService = true;
+    proxySettings.entry.lendsBudget = false;
+    proxySettings.entry.hedgeAfterShare = 0.4;
+    proxySettings.entry.returnWithin = std::chrono::milliseconds(400);
+    proxySettings.gate.chancesLate = true;
     proxySettings.gate.limiter = LimiterKind::Fixed;
     proxySettings.gate.keepsRecord = false;
     proxySettings.gate.patienceShare = 0.125;
