Leave room in the retry bound for calls that repeated work makes again; forget failures with time

Each hop kept to its own share, but a repeat makes its calls again, which count at the services below. A target that had failed or been slow was never asked again either. Change: entries spend 0.45 of the bound, a repeat of work that may have run costs 2.5; a failure that echoes a call's failure is not repeated above it; failure share and stretch fade, one request each 0.8 s asks a target of which nothing is known.

--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -155,9 +155,10 @@
     return m_settings.poison != nullptr && m_settings.poison->isPoisonous(contentHash(work));
 }
 
-bool Entry::mayRetry(Call *call, RetryChoice choice, bool wasOffered)
+bool Entry::mayRetry(Call *call, RetryChoice choice, const Answer &answer)
 {
-    if (!wasOffered && call->freePlacements < m_settings.policy.freePlacements) {
+    if (!answer.wasOffered && answer.outcome == Outcome::NotRun
+        && call->freePlacements < m_settings.policy.freePlacements) {
         ++call->freePlacements;
         return true;
     }
@@ -167,7 +168,8 @@
         return false;
     // A moved key has to be followed, or "not run" would not be certain.
     const bool isFree = choice == RetryChoice::FollowKey;
-    if (call->budget.tokens() == Tokens{0} || (!isFree && !m_ratio.spend(ratioScope(*call))))
+    const double cost = answer.outcome == Outcome::NotRun ? 1.0 : m_settings.policy.rerunCost;
+    if (call->budget.tokens() == Tokens{0} || (!isFree && !m_ratio.spend(ratioScope(*call), cost)))
         return false;
     return call->budget.spend();
 }
@@ -181,7 +183,7 @@
     if (waitsForOther)
         return;
     const bool isLate = call->deadline <= now + answerMargin;
-    if (choice == RetryChoice::Stop || isLate || !mayRetry(call, choice, answer.wasOffered)) {
+    if (choice == RetryChoice::Stop || isLate || !mayRetry(call, choice, answer)) {
         finish(call, std::move(answer), actions, now, wall);
         return;
     }
@@ -254,7 +256,8 @@
     if (!mayHedge)
         return;
     const Result<Pick> pick = m_router->pick(pickRequest(*call), now);
-    if (!pick || !m_ratio.spend(ratioScope(*call)) || !call->budget.spend())
+    if (!pick || !m_ratio.spend(ratioScope(*call), m_settings.policy.rerunCost)
+        || !call->budget.spend())
         return;
     m_hedgeCredit -= 1.0;
     send(call, pick.value().peer, actions, now);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -77,6 +77,9 @@
     /// Whether retries are lent to the part of the chain below. Not where upstreams make their
     /// calls without the context of the request: nothing would come back.
     bool lendsBudget = true;
+    /// What a repeat costs of the ratio if the work may have run before: it makes its calls to
+    /// other services again. One that was turned away costs 1.
+    double rerunCost = 1.0;
     double hedgeAfterShare = 0.0; ///< of the time that the caller gives, the soonest for a hedge
     /// Longest time after which a caller who is turned away unserved is asked to come again;
     /// 0 to leave it to the caller.
@@ -213,7 +216,7 @@
                     EntryActions *actions, TimePoint now, WallTime wall);
     void goOn(Call *call, RetryChoice choice, const Attempt &attempt, Answer answer,
               EntryActions *actions, TimePoint now, WallTime wall);
-    bool mayRetry(Call *call, RetryChoice choice, bool wasOffered);
+    bool mayRetry(Call *call, RetryChoice choice, const Answer &answer);
     const std::string &ratioScope(const Call &call) const;
     Duration returnDelay(const Call &call, TimePoint now);
     bool isPoisonous(const Work &work) const;
--- /dev/null
+++ b/src/entry/tests/test_placement.cpp
@@ -0,0 +1,188 @@
+#define BOOST_TEST_MODULE placement
+#include "entry/entry.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace buckthornford;
+
+namespace {
+
+constexpr std::uint32_t placements = 4;
+const TimePoint start{std::chrono::seconds(1)};
+const WallTime noWall{0};
+
+/// An entry whose upstreams drop the context of requests, with six targets of one service.
+struct Fixture
+{
+    Fixture()
+    {
+        EntryPolicy policy;
+        policy.router = RouterKind::LeastCost;
+        policy.chooseRetry = chooseRetryWithoutKeys;
+        policy.usesKeys = false;
+        policy.hedges = false;
+        policy.freePlacements = placements;
+        policy.ratioPerService = true;
+        policy.lendsBudget = false;
+        policy.returnWithin = std::chrono::milliseconds(400);
+        EntrySettings settings;
+        settings.place = {InstanceId{"e"}, ZoneName{"z"}, RegionName{"r"}};
+        settings.policy = policy;
+        settings.ratio = {0.1, 2.0};
+        entry = std::make_unique<Entry>(settings);
+        std::vector<Target> targets;
+        std::vector<DirectoryEntry> directory;
+        for (const char *name : {"a", "b", "c", "d", "e", "f"}) {
+            const PeerRef peer{InstanceId{name}, Incarnation{1}, ""};
+            targets.push_back({peer, service, ZoneName{"z"}, RegionName{"r"}, Slots{4}});
+            directory.push_back({peer, service});
+        }
+        entry->setView(targets, directory, start);
+        Preset preset;
+        preset.name = PresetName{"only"};
+        preset.classes = {{ClassName{"class"}, Rank{0}, Tokens{1}, std::chrono::seconds(1)}};
+        Configuration configuration;
+        configuration.revision = Revision{1};
+        configuration.document.inForce = preset.name;
+        configuration.document.presets.emplace(preset.name, preset);
+        history.accept(configuration);
+    }
+
+    EntryActions begin(bool idempotent)
+    {
+        CallRequest request;
+        request.work.service = service;
+        request.work.operation = OperationName{"op"};
+        request.work.className = ClassName{"class"};
+        request.work.idempotent = idempotent;
+        return entry->begin(RequestId{++lastRequest}, request, history, start, noWall);
+    }
+
+    static const SendRun *sent(const EntryActions &actions)
+    {
+        for (const EntryAction &action : actions) {
+            if (const auto *run = std::get_if<SendRun>(&action))
+                return run;
+        }
+        return nullptr;
+    }
+
+    static const CallResult *finished(const EntryActions &actions)
+    {
+        for (const EntryAction &action : actions) {
+            if (const auto *finish = std::get_if<FinishCall>(&action))
+                return &finish->result;
+        }
+        return nullptr;
+    }
+
+    EntryActions answer(const SendRun &run, Outcome outcome, bool wasOffered, int status = 0)
+    {
+        Answer answer = refusal(run.run, Error::UpstreamFailed, true);
+        answer.outcome = outcome;
+        answer.wasOffered = wasOffered;
+        answer.status = status;
+        return entry->answer(run.to.instance, answer, start, noWall);
+    }
+
+    const ServiceName service{"s"};
+    std::unique_ptr<Entry> entry;
+    ConfigurationHistory history;
+    std::uint64_t lastRequest = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(whatWasNotOfferedIsPlacedAnewAtNoCost, Fixture)
+{
+    for (int call = 0; call < 20; ++call) {
+        EntryActions actions = begin(false);
+        std::set<std::string> targets;
+        int attempts = 0;
+        while (const SendRun *run = sent(actions)) {
+            targets.insert(run->to.instance.value());
+            ++attempts;
+            actions = answer(SendRun(*run), Outcome::NotRun, false);
+        }
+        // One more than the free placements by the call's own retry, while the ratio has any.
+        BOOST_TEST(attempts >= 1 + static_cast<int>(placements));
+        BOOST_TEST(static_cast<int>(targets.size()) == attempts);
+        BOOST_REQUIRE(finished(actions) != nullptr);
+        BOOST_TEST((finished(actions)->answer.outcome == Outcome::NotRun));
+    }
+}
+
+/// The upstream gives no budget back; the retry must not have been lent to it.
+BOOST_FIXTURE_TEST_CASE(aFailureOfIdempotentWorkIsRepeatedOnce, Fixture)
+{
+    EntryActions actions = begin(true);
+    const SendRun first = *sent(actions);
+    BOOST_TEST(first.run.budget.value() == 0U);
+    actions = answer(first, Outcome::Failed, true, 500);
+    BOOST_REQUIRE(sent(actions) != nullptr);
+    BOOST_TEST((sent(actions)->to.instance != first.to.instance));
+    actions = answer(SendRun(*sent(actions)), Outcome::Failed, true, 500);
+    BOOST_TEST(sent(actions) == nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(whatMayHaveRunIsNotRepeated, Fixture)
+{
+    EntryActions actions = begin(false);
+    actions = answer(SendRun(*sent(actions)), Outcome::Unknown, true);
+    BOOST_TEST(sent(actions) == nullptr);
+    BOOST_TEST((finished(actions)->answer.outcome == Outcome::Unknown));
+}
+
+/// A refusal after an attempt that may have run is no promise.
+BOOST_FIXTURE_TEST_CASE(aRefusalAfterADoubtfulAttemptIsNoPromise, Fixture)
+{
+    EntryActions actions = begin(true);
+    actions = answer(SendRun(*sent(actions)), Outcome::Unknown, true);
+    while (const SendRun *run = sent(actions))
+        actions = answer(SendRun(*run), Outcome::NotRun, false);
+    BOOST_TEST((finished(actions)->answer.outcome == Outcome::Unknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(theUpstreamsOwnFailureGoesBeforeARefusal, Fixture)
+{
+    EntryActions actions = begin(true);
+    actions = answer(SendRun(*sent(actions)), Outcome::Failed, true, 500);
+    while (const SendRun *run = sent(actions))
+        actions = answer(SendRun(*run), Outcome::NotRun, false);
+    BOOST_TEST((finished(actions)->answer.outcome == Outcome::Failed));
+    BOOST_TEST(finished(actions)->answer.status == 500);
+}
+
+/// Repeats of a service stay within the saved ones and the ratio.
+BOOST_FIXTURE_TEST_CASE(repeatsStayWithinTheRatio, Fixture)
+{
+    int repeats = 0;
+    constexpr int calls = 200;
+    for (int call = 0; call < calls; ++call) {
+        EntryActions actions = begin(true);
+        actions = answer(SendRun(*sent(actions)), Outcome::Failed, true, 500);
+        if (sent(actions) == nullptr)
+            continue;
+        ++repeats;
+        (void)answer(SendRun(*sent(actions)), Outcome::Failed, true, 500);
+    }
+    BOOST_TEST(repeats <= 2 + calls / 10);
+    BOOST_TEST(repeats >= calls / 10);
+}
+
+BOOST_FIXTURE_TEST_CASE(callersTurnedAwayAreSpreadOverTheTimeTheyHave, Fixture)
+{
+    std::set<Duration> delays;
+    for (int call = 0; call < 20; ++call) {
+        EntryActions actions = begin(false);
+        while (const SendRun *run = sent(actions))
+            actions = answer(SendRun(*run), Outcome::NotRun, false);
+        const Duration delay = finished(actions)->answer.retryAfter;
+        BOOST_TEST((delay > Duration{0}));
+        BOOST_TEST((delay <= std::chrono::milliseconds(334)));
+        delays.insert(delay);
+    }
+    BOOST_TEST(delays.size() > 15U);
+}
--- a/src/gate/tests/test_gate.cpp
+++ b/src/gate/tests/test_gate.cpp
@@ -281,3 +281,82 @@
             RC_ASSERT(count == 1);
     }));
 }
+
+BOOST_AUTO_TEST_CASE(whatWaitsBeyondItsPatienceIsRefusedUnrun)
+{
+    GatePolicy policy;
+    policy.limiter = LimiterKind::Fixed;
+    policy.patienceShare = 0.125;
+    Gate gate = makeGate(policy);
+    gate.announce(Slots{1}, true, at(0));
+    Preset objectives = preset();
+    objectives.classes[0].objective = std::chrono::milliseconds(400);
+    gate.run(makeRun(1, "high"), replyTo(1), objectives, at(0), wall);
+    gate.run(makeRun(2, "high"), replyTo(2), objectives, at(0), wall);
+    gate.run(makeRun(3, "low"), replyTo(3), objectives, at(0), wall);
+    BOOST_TEST(only<Reply>(gate.tick(at(49), wall)).empty());
+    const auto refused = only<Reply>(gate.tick(at(50), wall));
+    BOOST_TEST(refused.size() == 1U);
+    BOOST_TEST((refused[0].answer.outcome == Outcome::NotRun));
+    BOOST_TEST(!refused[0].answer.wasOffered);
+}
+
+/// A stream that ended takes its idempotent and its waiting work along, nothing else.
+BOOST_AUTO_TEST_CASE(anEndedChannelStopsWhatCanBeRunElsewhere)
+{
+    GatePolicy policy;
+    policy.limiter = LimiterKind::Fixed;
+    policy.keepsRecord = false;
+    Gate gate = makeGate(policy);
+    gate.announce(Slots{2}, true, at(0));
+    Run unsafe = makeRun(2, "low");
+    unsafe.work.idempotent = false;
+    Run waiting = makeRun(3, "low");
+    waiting.work.idempotent = false;
+    gate.run(makeRun(1, "low"), replyTo(1), preset(), at(0), wall);
+    gate.run(unsafe, replyTo(2), preset(), at(0), wall);
+    gate.run(waiting, replyTo(3), preset(), at(0), wall);
+    const GateActions actions = gate.cancelChannel(1, at(1));
+    BOOST_TEST(only<CancelExecution>(actions).size() == 1U);
+    BOOST_TEST(only<Reply>(actions).size() == 1U);
+    BOOST_TEST(gate.inFlight() == 2U);
+    BOOST_TEST(gate.queued() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(workWithLittleTimeGetsItsChanceWhileNothingWaits)
+{
+    const auto startedWith = [](bool chancesLate, std::int64_t timeLeft) {
+        GatePolicy policy;
+        policy.limiter = LimiterKind::Fixed;
+        policy.chancesLate = chancesLate;
+        Gate gate = makeGate(policy);
+        gate.announce(Slots{4}, true, at(0));
+        for (std::uint64_t i = 1; i <= 20; ++i) {
+            const auto started = only<StartExecution>(
+                    gate.run(makeRun(i, "high"), replyTo(i), preset(), at(0), wall));
+            UpstreamResult result = answered(started[0].execution);
+            result.latency = std::chrono::milliseconds(100);
+            gate.finish(result, {}, at(0));
+        }
+        Run late = makeRun(99, "high");
+        late.timeLeft = std::chrono::milliseconds(timeLeft);
+        return only<StartExecution>(gate.run(late, replyTo(99), preset(), at(0), wall)).size();
+    };
+    BOOST_TEST(startedWith(false, 60) == 0U);
+    BOOST_TEST(startedWith(true, 60) == 1U);
+    BOOST_TEST(startedWith(true, 30) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(allThatWaitsCanBeHandedElsewhere)
+{
+    GatePolicy policy;
+    policy.limiter = LimiterKind::Fixed;
+    Gate gate = makeGate(policy);
+    gate.announce(Slots{1}, true, at(0));
+    for (std::uint64_t i = 1; i <= 3; ++i)
+        gate.run(makeRun(i, "low"), replyTo(i), preset(), at(0), wall);
+    const auto refused = only<Reply>(gate.refuseWaiting(Error::TargetLeaving));
+    BOOST_TEST(refused.size() == 2U);
+    BOOST_TEST(refused[0].answer.retryable);
+    BOOST_TEST(gate.inFlight() == 1U);
+}
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -11,6 +11,10 @@
 constexpr std::uint64_t localChannel = 0;
 /// Grain of deadlines and of what is done at intervals.
 constexpr Duration tickInterval = std::chrono::milliseconds(20);
+/// An upstream whose own call has failed answers with an error within this time. That call was
+/// repeated as far as it may be, next to the failure, so the work above it isn't.
+constexpr Duration failureEcho = std::chrono::milliseconds(25);
+constexpr int firstServerError = 500;
 constexpr Duration idleTickInterval = std::chrono::milliseconds(200);
 
 EntrySettings entrySettings(const ProxySettings &settings, const PoisonBook *poison)
@@ -180,8 +184,12 @@
                              Error::None, result.latency);
         m_running.erase(running);
     }
+    ChainResult chain;
+    chain.failedForGood = m_lastUnserved && now - *m_lastUnserved < failureEcho
+                          && result.end == UpstreamResult::End::Answered
+                          && result.status >= firstServerError;
     const bool isAbsent = result.end == UpstreamResult::End::NotSent || result.hasCrashed;
-    carryOut(m_gate.finish(std::move(result), {}, now), now);
+    carryOut(m_gate.finish(std::move(result), chain, now), now);
     if (isAbsent && m_gate.hasUpstream()) {
         // Its next report brings it back.
         carryOut(m_gate.withdraw(now), now);
@@ -343,6 +351,8 @@
 {
     const Span &span = action.result.span;
     logEnd(action, now);
+    if (action.result.answer.outcome != Outcome::Completed)
+        m_lastUnserved = now;
     m_callerIds.erase(action.request);
     m_entryMetrics.record(span.className, span.outcome, span.reason, action.result.duration);
     m_outputs.answer(m_adapter.callers->answer(action.request, std::move(action.result.answer)));
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -197,9 +197,10 @@
     Gate m_gate;
     ConfigurationHistory m_history;
     ServiceChooser m_chooser;
-    std::optional<UpstreamNews> m_upstream; ///< the newest report of the present instance
-    std::optional<TimePoint> m_leaveTime;   ///< since when the upstream leaves
-    std::optional<TimePoint> m_stopTime;    ///< since when the process stops
+    std::optional<UpstreamNews> m_upstream;  ///< the newest report of the present instance
+    std::optional<TimePoint> m_leaveTime;    ///< since when the upstream leaves
+    std::optional<TimePoint> m_stopTime;     ///< since when the process stops
+    std::optional<TimePoint> m_lastUnserved; ///< when a call from beside this node failed last
     std::optional<NodeCondition> m_told;
     std::unordered_map<ExecutionId, Work> m_running;
     std::vector<UpstreamResult> m_lost; ///< wait for the probe that tells crash from mishap
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -15,6 +15,11 @@
 
 constexpr Duration housekeepingInterval = std::chrono::milliseconds(250);
 constexpr Duration settingsInterval = std::chrono::seconds(2);
+/// Of the bound on repeats, what entries spend on repeats of a service's own requests. The rest is
+/// left for calls that repeated work makes again, which count at the service that they reach: with
+/// rerunCost that is 0.45 + 3 * 0.45 / 2.5 of the bound for chains of four services.
+constexpr double ownRetryShare = 0.45;
+constexpr double rerunCost = 2.5;
 /// Callers need two failed readiness checks, a second apart, to go elsewhere.
 constexpr Duration shortestStop = std::chrono::milliseconds(2600);
 /// Left between the last chance to end in order and the kill.
@@ -198,15 +203,15 @@
     proxySettings.entry.freePlacements = 4;
     proxySettings.entry.ratioPerService = true;
     proxySettings.entry.lendsBudget = false;
+    proxySettings.entry.rerunCost = rerunCost;
     proxySettings.entry.hedgeAfterShare = 0.4;
     proxySettings.entry.returnWithin = std::chrono::milliseconds(400);
     proxySettings.gate.chancesLate = true;
     proxySettings.gate.limiter = LimiterKind::Fixed;
     proxySettings.gate.keepsRecord = false;
     proxySettings.gate.patienceShare = 0.125;
-    // Repeats cause further calls behind them, which count too.
-    proxySettings.retryRatio = settings.retryRatio / 2.0;
-    proxySettings.retrySlack = settings.retrySlack / 2.0;
+    proxySettings.retryRatio = settings.retryRatio * ownRetryShare;
+    proxySettings.retrySlack = settings.retrySlack * ownRetryShare;
     proxySettings.drainLimit = scaled(settings.drainBound, 0.8);
     proxySettings.drainSpread = scaled(settings.drainBound, 0.3);
     proxySettings.seed = seed;
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -42,12 +42,12 @@
     saved = std::min(m_settings.burst, saved + m_settings.ratio);
 }
 
-bool RetryRatio::spend(const std::string &scope)
+bool RetryRatio::spend(const std::string &scope, double cost)
 {
     double &saved = credit(scope);
-    if (saved < 1.0)
+    if (saved < cost)
         return false;
-    saved -= 1.0;
+    saved -= cost;
     return true;
 }
 
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -53,8 +53,8 @@
 
     void recordRequest(const std::string &scope);
 
-    /// Takes one retry of \a scope. Returns whether there was one.
-    bool spend(const std::string &scope);
+    /// Takes \a cost retries of \a scope. Returns whether there were as many.
+    bool spend(const std::string &scope, double cost = 1.0);
 
     /// Sets the share and the savings, for what is saved from now on.
     void set(Settings settings) { m_settings = settings; }
--- a/src/routing/least_cost.cpp
+++ b/src/routing/least_cost.cpp
@@ -41,13 +41,16 @@
     const auto reach = static_cast<std::size_t>(state.reach);
     const auto latency = service.latencies.find(request.operation);
     const bool isKnown = latency != service.latencies.end() && latency->second.mean() > 0.0;
-    const double work = (isKnown ? latency->second.mean() : assumedWork)
-                        * stretchNow(state, service, request.operation, now);
+    const double work
+            = (isKnown ? latency->second.mean() : assumedWork)
+              * (needsProbe(state, now) ? 1.0 : stretchNow(state, service, request.operation, now));
     const double used = load(state, now);
     // Up to busyLoad work doesn't wait; at a full target about one more service time.
     const double congestion = std::max(0.0, used - busyLoad) / (1.0 - busyLoad);
     const double delay = state.networkDelay > 0.0 ? state.networkDelay : assumedDelay[reach];
-    const double failures = std::max(0.0, state.failureShare - toleratedFailures);
+    const double failures = needsProbe(state, now)
+                                    ? 0.0
+                                    : std::max(0.0, failuresNow(state, now) - toleratedFailures);
     return work * (1.0 + congestion) + used * work / 4.0 + delay + reachSurcharge[reach]
            + failures * failureDelay;
 }
--- a/src/routing/measuring.cpp
+++ b/src/routing/measuring.cpp
@@ -16,6 +16,7 @@
 constexpr double recoverySeconds = 2.0; ///< time constant with which an unused target recovers
 constexpr Duration minUnreachable = std::chrono::milliseconds(250);
 constexpr Duration maxUnreachable = std::chrono::seconds(4);
+constexpr Duration probeInterval = std::chrono::milliseconds(800);
 constexpr double meanWeight = 0.05;
 constexpr double microsecondsPerSecond = 1e6;
 
@@ -147,9 +148,22 @@
         found->second.inFlight.insert(now);
 }
 
-void MeasuringRouter::noteFailure(State *state, bool hasFailed)
+double MeasuringRouter::failuresNow(const State &state, TimePoint now) const
 {
-    state->failureShare += failureWeight * ((hasFailed ? 1.0 : 0.0) - state->failureShare);
+    const double idle = std::chrono::duration<double>(now - state.lastEnd).count();
+    return state.failureShare * std::exp(-idle / recoverySeconds);
+}
+
+bool MeasuringRouter::needsProbe(const State &state, TimePoint now) const
+{
+    return state.inFlight.empty() && now - state.lastEnd > probeInterval;
+}
+
+void MeasuringRouter::noteFailure(State *state, bool hasFailed, TimePoint now)
+{
+    const double remembered = failuresNow(*state, now);
+    state->failureShare = remembered + failureWeight * ((hasFailed ? 1.0 : 0.0) - remembered);
+    state->lastEnd = now;
 }
 
 void MeasuringRouter::onEnd(const InstanceId &target, const AttemptReport &report, TimePoint now)
@@ -164,7 +178,7 @@
         state.inFlight.erase(sent);
     if (report.end == End::Refused || report.end == End::Dropped)
         return;
-    noteFailure(&state, report.end != End::Answered);
+    noteFailure(&state, report.end != End::Answered, now);
     if (report.end == End::Failed)
         return;
     if (report.end == End::Answered)
--- a/src/routing/measuring_p.h
+++ b/src/routing/measuring_p.h
@@ -48,7 +48,8 @@
         TimePoint reportTime;
         TimePoint unreachableUntil;
         Duration unreachableSpan{0};
-        double failureShare = 0.0; ///< of recent attempts, fading
+        double failureShare = 0.0; ///< of recent attempts, as of lastEnd
+        TimePoint lastEnd;         ///< of an attempt that told something
         double networkDelay = 0.0; ///< microseconds there and back, 0 if not measured
         TimePoint knownSince;
     };
@@ -63,6 +64,10 @@
                                     TimePoint now);
     double stretchNow(const State &state, const Service &service, const OperationName &operation,
                       TimePoint now) const;
+    double failuresNow(const State &state, TimePoint now) const;
+
+    /// Whether nothing has been learned of the target for so long that one request should tell.
+    bool needsProbe(const State &state, TimePoint now) const;
     State *lastResort(const Service &service, const PickRequest &request);
 
     Place m_place;
@@ -72,7 +77,7 @@
 
 private:
     void rebuildSubsets();
-    void noteFailure(State *state, bool hasFailed);
+    void noteFailure(State *state, bool hasFailed, TimePoint now);
 };
 
 } // namespace buckthornford
