--- a/src/routing/measuring.cpp
+++ b/src/routing/measuring.cpp
@@ -18,7 +18,6 @@
 constexpr Duration maxUnreachable = std::chrono::seconds(4);
 constexpr Duration probeInterval = std::chrono::milliseconds(800);
 constexpr double meanWeight = 0.05;
-constexpr double microsecondsPerSecond = 1e6;
 
 Reach reachOf(const Target &target, const Place &place)
 {
@@ -113,12 +112,17 @@
     return found;
 }
 
+/// What is left of the last known stretch: an unused target is expected to recover.
+double MeasuringRouter::rememberedStretch(const State &state, TimePoint now)
+{
+    const double idle = std::chrono::duration<double>(now - state.stretchTime).count();
+    return 1.0 + (state.stretch - 1.0) * std::exp(-idle / recoverySeconds);
+}
+
 double MeasuringRouter::stretchNow(const State &state, const Service &service,
                                    const OperationName &operation, TimePoint now) const
 {
-    const double idle
-            = static_cast<double>((now - state.stretchTime).count()) / microsecondsPerSecond;
-    const double remembered = 1.0 + (state.stretch - 1.0) * std::exp(-idle / recoverySeconds);
+    const double remembered = rememberedStretch(state, now);
     const auto latency = service.latencies.find(operation);
     if (state.inFlight.empty() || latency == service.latencies.end())
         return remembered;
@@ -194,7 +198,8 @@
                 += (state.networkDelay == 0.0 ? 1.0 : delayWeight) * (delay - state.networkDelay);
     }
     const double sample = static_cast<double>(spent.count()) / std::max(1.0, typical.mean());
-    state.stretch += stretchWeight * (std::min(sample, maxStretch) - state.stretch);
+    const double remembered = rememberedStretch(state, now);
+    state.stretch = remembered + stretchWeight * (std::min(sample, maxStretch) - remembered);
     state.stretchTime = now;
 }
 
--- a/src/routing/measuring_p.h
+++ b/src/routing/measuring_p.h
@@ -64,6 +64,7 @@
                                     TimePoint now);
     double stretchNow(const State &state, const Service &service, const OperationName &operation,
                       TimePoint now) const;
+    static double rememberedStretch(const State &state, TimePoint now);
     double failuresNow(const State &state, TimePoint now) const;
 
     /// Whether nothing has been learned of the target for so long that one request should tell.
