--- a/src/http1/door.cpp
+++ b/src/http1/door.cpp
@@ -90,7 +90,7 @@
                std::move(message));
 }
 
-void HttpDoor::on(DoorAnswer &&answer, TimePoint)
+void HttpDoor::on(const DoorAnswer &answer, TimePoint)
 {
     const auto found = m_waiting.find(answer.id);
     if (found == m_waiting.end())
@@ -98,7 +98,7 @@
     const auto connection = found->second.lock();
     m_waiting.erase(found);
     if (connection)
-        connection->answer(std::move(answer));
+        connection->answer(answer);
 }
 
 void HttpDoor::on(DoorLimits &&limits, TimePoint)
@@ -235,10 +235,10 @@
     answer.body = error.message() + "\n";
     answer.close = true;
     m_in.clear();
-    this->answer(std::move(answer));
+    this->answer(answer);
 }
 
-void DoorConnection::answer(DoorAnswer answer)
+void DoorConnection::answer(const DoorAnswer &answer)
 {
     m_request.reset();
     m_state = State::Writing;
@@ -319,7 +319,7 @@
     answer.close = true;
     m_in.clear();
     m_parser.reset();
-    this->answer(std::move(answer));
+    this->answer(answer);
 }
 
 void DoorConnection::leave()
--- a/src/http1/door_p.h
+++ b/src/http1/door_p.h
@@ -21,7 +21,7 @@
     DoorConnection(HttpDoor *door, boost::asio::ip::tcp::socket socket);
 
     void begin();
-    void answer(DoorAnswer answer);
+    void answer(const DoorAnswer &answer);
     bool isOverdue(TimePoint now) const;
     void endOverdue();
 
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -94,7 +94,7 @@
 
     HttpDoor(EventLoop *loop, Acceptor acceptor, DoorEvents *events);
     void accept();
-    void on(DoorAnswer &&answer, TimePoint now);
+    void on(const DoorAnswer &answer, TimePoint now);
     void on(DoorLimits &&limits, TimePoint now);
     void on(DoorClosing &&, TimePoint now);
 
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -126,12 +126,13 @@
     const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
     const std::vector<std::string> heads{
             "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n",
-            "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n",
             "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
             "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
             "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1x\r\n\r\n",
             "GET /a HTTP/1.1\r\nHost : h\r\n\r\n",
-            std::string("GET /a HTTP/1.1\r\nHost: h\0x\r\n\r\n", 31),
+            std::string("GET /a HTTP/1.1\r\nHost: h") + '\0' + "x\r\n\r\n",
             "GET /a\r\n\r\n",
             "\x16\x03\x01\x02\x00\x01",
     };
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -38,7 +38,7 @@
     return gate;
 }
 
-/// The bench's and most platforms' clocks may step; decisions here use no wall time.
+/// Clocks of machines may step by minutes; decisions here use no wall time.
 constexpr WallTime noWallTime{0};
 
 } // namespace
@@ -83,12 +83,16 @@
     }
     const Configuration *configuration = m_history.newest();
     if (configuration == nullptr) {
-        refuseCall(id, Error::NoConfiguration);
+        refuseCall(id, call, Error::NoConfiguration, now);
+        return;
+    }
+    if (m_stopTime && now - *m_stopTime > m_settings.stopRefusal) {
+        refuseCall(id, call, Error::TargetLeaving, now);
         return;
     }
     const Route *route = configuration->document.routes.find(call.host, call.path);
     if (route == nullptr) {
-        refuseCall(id, Error::NoRoute);
+        refuseCall(id, call, Error::NoRoute, now);
         return;
     }
     Work &work = call.request.work;
@@ -103,8 +107,20 @@
     carryOut(m_entry.begin(id, std::move(call.request), m_history, now, noWallTime), now);
 }
 
-void ProxyTask::refuseCall(RequestId id, Error reason)
+void ProxyTask::refuseCall(RequestId id, const IncomingCall &call, Error reason, TimePoint now)
 {
+    if (m_outputs.log->takes(LogClass::Trouble, now))
+        m_outputs.log->write(
+                LogClass::Trouble, "request-refused",
+                {{"request", call.id},
+                 {"host", call.host},
+                 {"path", call.path},
+                 {"reason", errorRow(reason).name},
+                 {"revision",
+                  static_cast<std::int64_t>(m_history.newest() == nullptr
+                                                    ? 0
+                                                    : m_history.newest()->revision.value())}},
+                now);
     m_outputs.answer(m_adapter.callers->answer(id, refusal(id, reason, false)));
 }
 
@@ -123,6 +139,7 @@
         if (const Work *work = m_entry.workOf(answer->request))
             noteStrikes(*work, answer->crash, now);
     }
+    logAttempt(message.peer, *answer, now);
     carryOut(m_entry.answer(message.peer, std::move(*answer), now, noWallTime), now);
 }
 
@@ -192,6 +209,7 @@
     carryOut(m_gate.finish(std::move(result), chain, now), now);
     if (isAbsent && m_gate.hasUpstream()) {
         // Its next report brings it back.
+        logUpstream("upstream-lost", now);
         carryOut(m_gate.withdraw(now), now);
         tellCondition();
     }
@@ -234,14 +252,19 @@
     m_outputs.upstream(UpstreamChanged{
             {news.id, checksum(news.id + '/' + std::to_string(news.start.value_or(0))),
              news.address}});
+    const bool isBack = !m_gate.hasUpstream();
     m_gate.announce(news.slots, !isSame, now);
+    if (!isSame || isBack)
+        logUpstream("upstream-serving", now);
     tellCondition();
 }
 
 void ProxyTask::leave(TimePoint now)
 {
-    if (!m_leaveTime)
+    if (!m_leaveTime) {
         m_leaveTime = now;
+        logUpstream("upstream-leaving", now);
+    }
     wakeBy(now + m_settings.drainSpread);
     tellCondition();
 }
@@ -272,6 +295,11 @@
             targets.push_back({member.peer, member.service, member.zone, member.region,
                                member.slots, member.suspected});
     }
+    if (m_outputs.log->takes(LogClass::Trouble, now))
+        m_outputs.log->write(LogClass::Trouble, "members-changed",
+                             {{"live", static_cast<std::int64_t>(live)},
+                              {"serving", static_cast<std::int64_t>(targets.size())}},
+                             now);
     // Each node's part of the fleet's slack; small while few nodes are known would be too much.
     m_entry.setRatio(
             {m_settings.retryRatio,
@@ -292,8 +320,18 @@
         if (m_poison.note(strike, now))
             news.push_back(strike);
     }
-    if (!news.empty())
-        m_outputs.strikes({std::move(news), message.from});
+    if (news.empty())
+        return;
+    const Strike &first = news.front();
+    if (m_outputs.log->takes(LogClass::Trouble, now))
+        m_outputs.log->write(LogClass::Trouble,
+                             first.isRelease ? "content-cleared" : "content-struck",
+                             {{"content", toHex(first.content.value())},
+                              {"more", static_cast<std::int64_t>(news.size()) - 1},
+                              {"barred", m_poison.isPoisonous(first.content)},
+                              {"from", message.from ? message.from->value() : std::string()}},
+                             now);
+    m_outputs.strikes({std::move(news), message.from});
 }
 
 void ProxyTask::on(SettingsChanged &&message, TimePoint)
@@ -358,6 +396,51 @@
     m_outputs.answer(m_adapter.callers->answer(action.request, std::move(action.result.answer)));
 }
 
+/// Returns how the caller names request \a id; empty if it isn't open.
+std::string_view ProxyTask::callerId(RequestId id) const
+{
+    const auto found = m_callerIds.find(id);
+    return found == m_callerIds.end() ? std::string_view() : found->second;
+}
+
+/// One line for each attempt that did not bring the answer, with what the entry decides by.
+void ProxyTask::logAttempt(const InstanceId &target, const Answer &answer, TimePoint now)
+{
+    if (answer.outcome == Outcome::Completed || !m_outputs.log->takes(LogClass::Trouble, now))
+        return;
+    m_outputs.log->write(LogClass::Trouble, "attempt-failed",
+                         {{"request", callerId(answer.request)},
+                          {"attempt", std::int64_t{answer.attempt.value()}},
+                          {"target", target.value()},
+                          {"outcome", outcomeName(answer.outcome)},
+                          {"reason", errorRow(answer.reason).name},
+                          {"status", std::int64_t{answer.status}},
+                          {"offered", answer.wasOffered},
+                          {"repeatable", answer.retryable},
+                          {"target_in_flight", std::int64_t{answer.load.inFlight}},
+                          {"target_limit", std::int64_t{answer.load.limit}},
+                          {"target_queued", std::int64_t{answer.load.queued}},
+                          {"queue_ms", toMilliseconds(answer.queueWait)},
+                          {"service_ms", toMilliseconds(answer.serviceTime)}},
+                         now);
+}
+
+/// One line for each change of what this node believes of its upstream.
+void ProxyTask::logUpstream(std::string_view event, TimePoint now)
+{
+    if (!m_upstream)
+        return;
+    m_outputs.log->write(LogClass::Process, event,
+                         {{"upstream", m_upstream->id},
+                          {"start", static_cast<std::int64_t>(m_upstream->start.value_or(0))},
+                          {"sequence", static_cast<std::int64_t>(m_upstream->sequence)},
+                          {"service", m_upstream->service.value()},
+                          {"slots", std::int64_t{m_upstream->slots.value()}},
+                          {"in_flight", std::int64_t{m_gate.inFlight()}},
+                          {"queued", static_cast<std::int64_t>(m_gate.queued())}},
+                         now);
+}
+
 void ProxyTask::logEnd(const FinishCall &action, TimePoint now)
 {
     const CallResult &result = action.result;
@@ -366,9 +449,8 @@
     if (!m_outputs.log->takes(kind, now))
         return;
     const Span &span = result.span;
-    const auto id = m_callerIds.find(action.request);
     m_outputs.log->write(kind, "request-ended",
-                         {{"request", id == m_callerIds.end() ? std::string_view() : id->second},
+                         {{"request", callerId(action.request)},
                           {"service", span.service.value()},
                           {"route", span.operation.value()},
                           {"outcome", outcomeName(result.answer.outcome)},
@@ -403,6 +485,7 @@
 void ProxyTask::carryOut(Reply &&action, TimePoint now)
 {
     if (action.to.channel == localChannel) {
+        logAttempt(m_settings.self.instance, action.answer, now);
         carryOut(
                 m_entry.answer(m_settings.self.instance, std::move(action.answer), now, noWallTime),
                 now);
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -128,8 +128,10 @@
     GatePolicy gate;
     double retryRatio = 0.1;  ///< retries of a service per request to it, over the whole fleet
     double retrySlack = 20.0; ///< retries beyond the ratio, over the whole fleet and one window
-    Duration drainSpread{std::chrono::milliseconds(700)}; ///< until others know that it leaves
-    Duration drainLimit{std::chrono::milliseconds(2000)}; ///< until nothing waiting may start
+    Duration drainSpread{std::chrono::milliseconds(700)};  ///< until others know that it leaves
+    Duration drainLimit{std::chrono::milliseconds(2000)};  ///< until nothing waiting may start
+    Duration stopRefusal{std::chrono::milliseconds(4200)}; ///< after a stop, until callers are
+                                                           ///< turned away, so that the rest ends
     std::uint64_t seed = 1;
 };
 
@@ -178,7 +180,10 @@
     void carryOut(Reply &&action, TimePoint now);
 
     void logEnd(const FinishCall &action, TimePoint now);
-    void refuseCall(RequestId id, Error reason);
+    void logAttempt(const InstanceId &target, const Answer &answer, TimePoint now);
+    void logUpstream(std::string_view event, TimePoint now);
+    std::string_view callerId(RequestId id) const;
+    void refuseCall(RequestId id, const IncomingCall &call, Error reason, TimePoint now);
     void runHere(const Run &run, ReplyTo from, TimePoint now);
     void finishExecution(UpstreamResult result, TimePoint now);
     bool isNews(const UpstreamNews &news) const;
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -29,16 +29,16 @@
 class InstantDoor : public DoorEvents
 {
 public:
-    using Answerer = std::function<DoorAnswer(DoorRequest)>;
+    using Answerer = std::function<DoorAnswer(const DoorRequest &)>;
 
     explicit InstantDoor(Answerer answerer)
         : m_answerer(std::move(answerer))
     {}
 
-    void onRequest(DoorRequest request) override { m_door->post(m_answerer(std::move(request))); }
+    void onRequest(DoorRequest request) override { door->post(m_answerer(request)); }
     void onLeft(RequestId) override {}
 
-    std::unique_ptr<HttpDoor> m_door;
+    std::unique_ptr<HttpDoor> door;
 
 private:
     Answerer m_answerer;
@@ -90,10 +90,10 @@
     std::unique_ptr<UpstreamTask> upstream;
     std::unique_ptr<MeshTask> mesh;
     std::unique_ptr<HttpDoor> callers;
-    InstantDoor readiness{[this](DoorRequest request) { return answerReadiness(request); }};
-    InstantDoor announcements{[this](DoorRequest request) { return answerAnnouncement(request); }};
-    InstantDoor metrics{[this](DoorRequest request) { return answerMetrics(request); }};
-    std::shared_ptr<ClientConnection> probe;
+    InstantDoor readiness{[this](const DoorRequest &request) { return answerReadiness(request); }};
+    InstantDoor announcements{
+            [this](const DoorRequest &request) { return answerAnnouncement(request); }};
+    InstantDoor metrics{[this](const DoorRequest &request) { return answerMetrics(request); }};
     Endpoint upstreamAddress;
     Revision newest;
     std::optional<TimePoint> stopTime;
@@ -123,9 +123,9 @@
     };
     const std::array<DoorPlan, 4> plans{
             DoorPlan{settings.callers, this, &callers},
-            DoorPlan{settings.announcements, &announcements, &announcements.m_door},
-            DoorPlan{settings.readiness, &readiness, &readiness.m_door},
-            DoorPlan{settings.metrics, &metrics, &metrics.m_door}};
+            DoorPlan{settings.announcements, &announcements, &announcements.door},
+            DoorPlan{settings.readiness, &readiness, &readiness.door},
+            DoorPlan{settings.metrics, &metrics, &metrics.door}};
     for (const DoorPlan &plan : plans) {
         Result<std::unique_ptr<HttpDoor>> door
                 = HttpDoor::listen(&loop, plan.endpoint, plan.events);
@@ -159,7 +159,7 @@
     outputs.mesh = [this](MeshMessage message) { mesh->post(std::move(message)); };
     outputs.members = [this](MembersChanged members) {
         if (store)
-            store->post(CompanyChanged{gossip->liveCount() == 0});
+            store->post(PeersKnown{gossip->liveCount() > 0});
         proxy->post(std::move(members));
     };
     outputs.configuration = [this](const std::string &text) { takeConfiguration(text); };
@@ -214,6 +214,7 @@
     proxySettings.retrySlack = settings.retrySlack * ownRetryShare;
     proxySettings.drainLimit = scaled(settings.drainBound, 0.8);
     proxySettings.drainSpread = scaled(settings.drainBound, 0.3);
+    proxySettings.stopRefusal = scaled(settings.stopBound, 0.7);
     proxySettings.seed = seed;
 
     proxy = std::make_unique<ProxyTask>(&loop, proxySettings, adapter, proxyOutputs());
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -25,17 +25,17 @@
     , m_random(seed)
     , m_outputs(std::move(outputs))
 {
-    m_errands[Configuration].isWanted = true;
-    m_errands[Listing].isWanted = true;
+    m_repeated[Configuration].isWanted = true;
+    m_repeated[Listing].isWanted = true;
     // Nodes that start together have put their rows by the time they list them.
-    m_errands[Listing].due = monotonicNow() + std::chrono::milliseconds(600);
+    m_repeated[Listing].due = monotonicNow() + std::chrono::milliseconds(600);
 }
 
 StoreTask::~StoreTask()
 {
-    for (Errand &errand : m_errands) {
-        if (errand.connection)
-            errand.connection->close();
+    for (RepeatedCall &call : m_repeated) {
+        if (call.connection)
+            call.connection->close();
     }
 }
 
@@ -48,17 +48,17 @@
 TimePoint StoreTask::tick(TimePoint now)
 {
     TimePoint next = now + idleInterval;
-    for (std::size_t i = 0; i < errandCount; ++i) {
-        const auto kind = static_cast<ErrandKind>(i);
-        Errand &errand = m_errands[i];
-        if (errand.isRunning && errand.timeout <= now)
+    for (std::size_t i = 0; i < CallKindCount; ++i) {
+        const auto kind = static_cast<CallKind>(i);
+        RepeatedCall &call = m_repeated[i];
+        if (call.isRunning && call.timeout <= now)
             fail(kind, now);
-        if (!errand.isRunning && errand.isWanted && errand.due <= now)
+        if (!call.isRunning && call.isWanted && call.due <= now)
             begin(kind, now);
-        if (errand.isRunning)
-            next = std::min(next, errand.timeout);
-        else if (errand.isWanted)
-            next = std::min(next, errand.due);
+        if (call.isRunning)
+            next = std::min(next, call.timeout);
+        else if (call.isWanted)
+            next = std::min(next, call.due);
     }
     return next;
 }
@@ -66,28 +66,28 @@
 void StoreTask::on(PutSelf &&message, TimePoint now)
 {
     m_self = std::move(message);
-    m_errands[Node].isWanted = true;
+    m_repeated[Node].isWanted = true;
     wakeBy(now);
 }
 
 void StoreTask::on(RemoveSelf &&, TimePoint now)
 {
     m_isLeaving = true;
-    m_errands[Node].isWanted = m_self.has_value();
-    m_errands[Node].due = now;
+    m_repeated[Node].isWanted = m_self.has_value();
+    m_repeated[Node].due = now;
     wakeBy(now);
 }
 
-void StoreTask::on(CompanyChanged &&message, TimePoint now)
+void StoreTask::on(PeersKnown &&message, TimePoint now)
 {
-    if (std::exchange(m_isAlone, message.isAlone) == message.isAlone || !message.isAlone)
+    if (std::exchange(m_isAlone, !message.any) == !message.any || message.any)
         return;
-    m_errands[Listing].isWanted = true;
-    m_errands[Listing].due = now;
+    m_repeated[Listing].isWanted = true;
+    m_repeated[Listing].due = now;
     wakeBy(now);
 }
 
-ClientRequest StoreTask::requestFor(ErrandKind kind) const
+ClientRequest StoreTask::requestFor(CallKind kind) const
 {
     switch (kind) {
     case Configuration:
@@ -97,81 +97,81 @@
         return m_isLeaving ? m_dialect->removeNode(m_self->key)
                            : m_dialect->putNode(m_self->key, m_self->value);
     case Listing:
-    case errandCount:
+    case CallKindCount:
         break;
     }
     return m_dialect->listNodes();
 }
 
-void StoreTask::begin(ErrandKind kind, TimePoint now)
+void StoreTask::begin(CallKind kind, TimePoint now)
 {
-    Errand &errand = m_errands[kind];
+    RepeatedCall &call = m_repeated[kind];
     const bool isWatch = kind == Configuration && m_isWatching;
-    errand.isRunning = true;
-    errand.timeout = now + callTimeout + (isWatch ? watchSpan : Duration{0});
-    const std::uint64_t number = ++errand.number;
-    if (!errand.connection || !errand.connection->isReusable())
-        errand.connection = std::make_shared<ClientConnection>(&loop());
-    errand.connection->watchForSilence();
+    call.isRunning = true;
+    call.timeout = now + callTimeout + (isWatch ? watchSpan : Duration{0});
+    const std::uint64_t number = ++call.number;
+    if (!call.connection || !call.connection->isReusable())
+        call.connection = std::make_shared<ClientConnection>(&loop());
+    call.connection->watchForSilence();
     ++m_calls;
-    errand.connection->exchange(m_store, requestFor(kind),
-                                [this, kind, number](ClientAnswer answer) {
-                                    if (m_errands[kind].number != number)
-                                        return;
-                                    const TimePoint ended = monotonicNow();
-                                    if (answer.end != ClientAnswer::End::Answered)
-                                        fail(kind, ended);
-                                    else
-                                        end(kind, m_dialect->read(answer), ended);
-                                    wakeBy(ended);
-                                });
+    call.connection->exchange(m_store, requestFor(kind),
+                              [this, kind, number](const ClientAnswer &answer) {
+                                  if (m_repeated[kind].number != number)
+                                      return;
+                                  const TimePoint ended = monotonicNow();
+                                  if (answer.end != ClientAnswer::End::Answered)
+                                      fail(kind, ended);
+                                  else
+                                      end(kind, m_dialect->read(answer), ended);
+                                  wakeBy(ended);
+                              });
 }
 
-void StoreTask::fail(ErrandKind kind, TimePoint now)
+void StoreTask::fail(CallKind kind, TimePoint now)
 {
-    Errand &errand = m_errands[kind];
-    ++errand.number; // An answer that comes later belongs to no call.
-    errand.isRunning = false;
-    if (errand.connection)
-        errand.connection->close();
-    errand.connection.reset();
+    RepeatedCall &call = m_repeated[kind];
+    ++call.number; // An answer that comes later belongs to no call.
+    call.isRunning = false;
+    if (call.connection)
+        call.connection->close();
+    call.connection.reset();
     noteReachable(false);
-    errand.pause = std::clamp(2 * errand.pause, firstPause, longestPause);
+    call.pause = std::clamp(2 * call.pause, firstPause, longestPause);
     // Spread, so that the fleet doesn't come back as one.
     std::uniform_real_distribution<double> spread(0.5, 1.0);
-    errand.due = now + scaled(errand.pause, spread(m_random));
+    call.due = now + scaled(call.pause, spread(m_random));
 }
 
-void StoreTask::end(ErrandKind kind, const StoreAnswer &answer, TimePoint now)
+void StoreTask::end(CallKind kind, const StoreAnswer &answer, TimePoint now)
 {
-    Errand &errand = m_errands[kind];
+    RepeatedCall &call = m_repeated[kind];
     if (answer.state == StoreAnswer::State::Forgotten && kind == Configuration) {
-        errand.isRunning = false;
+        call.isRunning = false;
         m_isWatching = false;
-        errand.due = now;
+        call.due = now;
         return;
     }
     if (answer.state != StoreAnswer::State::Done) {
         fail(kind, now);
         return;
     }
-    errand.isRunning = false;
-    errand.pause = Duration{0};
-    errand.due = now;
+    call.isRunning = false;
+    call.pause = Duration{0};
+    call.due = now;
     noteReachable(true);
     switch (kind) {
     case Configuration:
         takeConfiguration(answer);
         break;
     case Node:
-        errand.isWanted = false;
+        call.isWanted = false;
         break;
     case Listing:
         m_outputs.nodes(answer.rows);
-        errand.isWanted = m_isAlone;
-        errand.due = now + listingInterval;
+        call.isWanted = m_isAlone;
+        call.due = now + listingInterval;
         break;
-    case errandCount:
+    case CallKindCount:
         break;
     }
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -24,13 +24,13 @@
 struct RemoveSelf
 {};
 
-/// Whether other nodes are known; one that knows none keeps asking the store.
-struct CompanyChanged
+/// Whether other nodes are known; a node that knows none keeps asking the store.
+struct PeersKnown
 {
-    bool isAlone = true;
+    bool any = false;
 };
 
-using StoreMessage = std::variant<PutSelf, RemoveSelf, CompanyChanged>;
+using StoreMessage = std::variant<PutSelf, RemoveSelf, PeersKnown>;
 
 /// Whom the task tells of what it reads.
 struct StoreOutputs
@@ -55,7 +55,7 @@
 
 private:
     /// A call that is made until it succeeds, with growing pauses.
-    struct Errand
+    struct RepeatedCall
     {
         bool isWanted = false;
         bool isRunning = false;
@@ -65,16 +65,16 @@
         std::shared_ptr<ClientConnection> connection;
         std::uint64_t number = 0; ///< of the call in progress
     };
-    enum ErrandKind : std::size_t { Configuration, Node, Listing, errandCount };
+    enum CallKind : std::size_t { Configuration, Node, Listing, CallKindCount };
 
     void on(PutSelf &&message, TimePoint now);
     void on(RemoveSelf &&message, TimePoint now);
-    void on(CompanyChanged &&message, TimePoint now);
+    void on(PeersKnown &&message, TimePoint now);
 
-    void begin(ErrandKind kind, TimePoint now);
-    void end(ErrandKind kind, const StoreAnswer &answer, TimePoint now);
-    void fail(ErrandKind kind, TimePoint now);
-    ClientRequest requestFor(ErrandKind kind) const;
+    void begin(CallKind kind, TimePoint now);
+    void end(CallKind kind, const StoreAnswer &answer, TimePoint now);
+    void fail(CallKind kind, TimePoint now);
+    ClientRequest requestFor(CallKind kind) const;
     void takeConfiguration(const StoreAnswer &answer);
     void noteReachable(bool isReachable);
 
@@ -82,7 +82,7 @@
     std::shared_ptr<const StoreDialect> m_dialect;
     std::mt19937_64 m_random;
     StoreOutputs m_outputs;
-    Errand m_errands[errandCount];
+    RepeatedCall m_repeated[CallKindCount];
     std::uint64_t m_version = 0; ///< of the store, up to which the configuration is known
     bool m_isWatching = false;   ///< the configuration was read, its changes are awaited
     std::optional<PutSelf> m_self;
