Find each other at once after a restart; give up sooner on a peer that doesn't greet

Cause, from the incident's logs: after all nodes were killed each knew twenty serving targets only 880 ms after its start, 600 ms of it a delay meant for the first start of the system; requests to a machine that was cut off waited 775 ms for a stream that never opened. Ruled out: the store (8 to 100 ms to the configuration). Change: the delay holds at the first start only; a node that knows no other asks 8 seeds, not all; a stream has 0.4 s to open. Callers of a node without configuration are told to come back in 0.15 s. Tests: integration test_platform_path (12 of 12), test_mesh, test_membership.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t readersPerZone = 2;
+constexpr std::size_t seedsAtOnce = 8;     ///< asked by a node that knows no other
 constexpr std::size_t fleetReachOuts = 20; ///< in each Membership::Settings::rejoin
 
 /// How much news outweighs other news of the same version.
@@ -320,7 +321,10 @@
 {
     const std::vector<PeerRef> peers = neighbours();
     if (peers.empty()) {
-        for (const std::string &address : m_seeds)
+        std::vector<std::string> some;
+        std::sample(m_seeds.begin(), m_seeds.end(), std::back_inserter(some), seedsAtOnce,
+                    m_random);
+        for (const std::string &address : some)
             sendings->push_back({seedPeer(address), comparison()});
         return;
     }
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -1,6 +1,8 @@
 #include "link/outbox_p.h"
 #include "mesh/stream_p.h"
 
+#include <algorithm>
+
 namespace buckthornford {
 
 namespace {
@@ -8,6 +10,8 @@
 using boost::asio::ip::tcp;
 
 constexpr Duration checkInterval = std::chrono::milliseconds(200);
+/// While a peer that is dialled has not greeted.
+constexpr Duration dialCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(100);
 constexpr int listenBacklog = 1024;
 
@@ -146,7 +150,9 @@
     }
     for (const auto &stream : silent)
         stream->end();
-    return now + checkInterval;
+    const bool isDialling = std::any_of(m_outgoing.begin(), m_outgoing.end(),
+                                        [](const auto &entry) { return !entry.second->wasOpen(); });
+    return now + (isDialling ? dialCheckInterval : checkInterval);
 }
 
 void MeshTask::onFrame(MeshStream *stream, Frame frame)
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -49,7 +49,7 @@
 
 struct MeshSettings
 {
-    Duration connectLimit{std::chrono::milliseconds(800)};  ///< until the peer greets
+    Duration connectLimit{std::chrono::milliseconds(400)};  ///< until the peer greets
     Duration pingAfter{std::chrono::milliseconds(400)};     ///< without a frame while one is due
     Duration silenceLimit{std::chrono::milliseconds(1600)}; ///< without a frame while one is due
 };
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -15,6 +15,8 @@
 /// repeated as far as it may be, next to the failure, so the work above it isn't.
 constexpr Duration failureEcho = std::chrono::milliseconds(25);
 constexpr int firstServerError = 500;
+/// A node that has just started reads the configuration within this time.
+constexpr Duration configurationWait = std::chrono::milliseconds(150);
 constexpr Duration idleTickInterval = std::chrono::milliseconds(200);
 
 EntrySettings entrySettings(const ProxySettings &settings, const PoisonBook *poison)
@@ -121,7 +123,10 @@
                                                     ? 0
                                                     : m_history.newest()->revision.value())}},
                 now);
-    m_outputs.answer(m_adapter.callers->answer(id, refusal(id, reason, false)));
+    Answer answer = refusal(id, reason, false);
+    if (reason == Error::NoConfiguration)
+        answer.retryAfter = configurationWait;
+    m_outputs.answer(m_adapter.callers->answer(id, std::move(answer)));
 }
 
 void ProxyTask::on(CallerGone &&message, TimePoint now)
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -228,8 +228,8 @@
     upstream->start();
     if (!settings.store)
         return;
-    store = std::make_unique<StoreTask>(&loop, *settings.store, adapter.store, seed,
-                                        storeOutputs());
+    store = std::make_unique<StoreTask>(&loop, *settings.store, adapter.store,
+                                        settings.isFirstStart, seed, storeOutputs());
     store->start();
     store->post(PutSelf{settings.instance.value(), self.address});
 }
--- a/src/proxy/service_node.h
+++ b/src/proxy/service_node.h
@@ -27,8 +27,9 @@
     std::optional<Endpoint> store;
     std::vector<std::string> seeds; ///< peer doors of a few other nodes
     ServiceName callerService;
-    double retryRatio = 0.2;  ///< repeats of a service per request to it, over the whole fleet
-    double retrySlack = 20.0; ///< repeats beyond that, over the whole fleet
+    bool isFirstStart = false; ///< of the whole system, so that no node has been seen before
+    double retryRatio = 0.2;   ///< repeats of a service per request to it, over the whole fleet
+    double retrySlack = 20.0;  ///< repeats beyond that, over the whole fleet
     Duration drainBound{std::chrono::milliseconds(2500)}; ///< from notice until no new work
     Duration stopBound{std::chrono::seconds(6)};          ///< from the stop signal until the kill
     std::string policy = "buckthornford";
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -11,14 +11,16 @@
 constexpr Duration watchSpan = std::chrono::seconds(20);
 constexpr Duration firstPause = std::chrono::milliseconds(200);
 constexpr Duration longestPause = std::chrono::seconds(2);
-constexpr Duration listingInterval = std::chrono::seconds(2);
+constexpr Duration listingInterval = std::chrono::seconds(1); ///< while no other node is known
+/// Nodes that start together have put their rows by then.
+constexpr Duration firstListingDelay = std::chrono::milliseconds(600);
 constexpr Duration idleInterval = std::chrono::seconds(1);
 
 } // namespace
 
 StoreTask::StoreTask(EventLoop *loop, const Endpoint &store,
-                     std::shared_ptr<const StoreDialect> dialect, std::uint64_t seed,
-                     StoreOutputs outputs)
+                     std::shared_ptr<const StoreDialect> dialect, bool isFirstStart,
+                     std::uint64_t seed, StoreOutputs outputs)
     : LoopTask(loop)
     , m_store(store)
     , m_dialect(std::move(dialect))
@@ -27,8 +29,8 @@
 {
     m_repeated[Configuration].isWanted = true;
     m_repeated[Listing].isWanted = true;
-    // Nodes that start together have put their rows by the time they list them.
-    m_repeated[Listing].due = monotonicNow() + std::chrono::milliseconds(600);
+    if (isFirstStart)
+        m_repeated[Listing].due = monotonicNow() + firstListingDelay;
 }
 
 StoreTask::~StoreTask()
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -43,8 +43,9 @@
 class StoreTask : public LoopTask<StoreMessage>
 {
 public:
+    /// With \a isFirstStart no node has put its row yet, so they are listed a little later.
     StoreTask(EventLoop *loop, const Endpoint &store, std::shared_ptr<const StoreDialect> dialect,
-              std::uint64_t seed, StoreOutputs outputs);
+              bool isFirstStart, std::uint64_t seed, StoreOutputs outputs);
     ~StoreTask() override;
 
     std::uint64_t callCount() const { return m_calls; }
