--- a/src/http1/door.cpp
+++ b/src/http1/door.cpp
@@ -9,8 +9,6 @@
 using boost::asio::ip::tcp;
 
 constexpr Duration sweepInterval = std::chrono::milliseconds(250);
-constexpr Duration acceptRetryDelay = std::chrono::milliseconds(100);
-constexpr int listenBacklog = 1024;
 /// Bytes that a caller may send ahead of its answer before reading stops.
 constexpr std::size_t maxSentAhead = 65536;
 
@@ -25,30 +23,19 @@
 Result<std::unique_ptr<HttpDoor>> HttpDoor::listen(EventLoop *loop, const Endpoint &endpoint,
                                                    DoorEvents *events)
 {
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address_v4(endpoint.host, error);
-    Acceptor acceptor(*loop);
-    const tcp::endpoint place(address, endpoint.port);
-    if (!error)
-        acceptor.open(place.protocol(), error);
-    if (!error)
-        acceptor.set_option(Acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(place, error);
-    if (!error)
-        acceptor.listen(listenBacklog, error);
-    if (error)
-        return Error::BindFailed;
-    std::unique_ptr<HttpDoor> door(new HttpDoor(loop, std::move(acceptor), events));
-    door->accept();
+    Result<std::unique_ptr<Listener>> listener = Listener::open(loop, endpoint.host, endpoint.port);
+    if (!listener)
+        return listener.error();
+    std::unique_ptr<HttpDoor> door(new HttpDoor(loop, std::move(listener.value()), events));
+    door->m_listener->start(
+            [own = door.get()](tcp::socket socket) { own->accept(std::move(socket)); });
     door->start();
     return door;
 }
 
-HttpDoor::HttpDoor(EventLoop *loop, Acceptor acceptor, DoorEvents *events)
+HttpDoor::HttpDoor(EventLoop *loop, std::unique_ptr<Listener> listener, DoorEvents *events)
     : LoopTask(loop)
-    , m_acceptor(std::move(acceptor))
-    , m_acceptRetry(*loop)
+    , m_listener(std::move(listener))
     , m_events(events)
 {}
 
@@ -60,28 +47,14 @@
 
 std::uint16_t HttpDoor::port() const
 {
-    return m_acceptor.local_endpoint().port();
+    return m_listener->port();
 }
 
-void HttpDoor::accept()
+void HttpDoor::accept(tcp::socket socket)
 {
-    m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted)
-            return;
-        if (error) {
-            // Most likely out of descriptors: wait until connections have ended.
-            m_acceptRetry.expires_after(acceptRetryDelay);
-            m_acceptRetry.async_wait([this](const boost::system::error_code &cancelled) {
-                if (!cancelled)
-                    accept();
-            });
-            return;
-        }
-        const auto connection = std::make_shared<DoorConnection>(this, std::move(socket));
-        m_connections.emplace(connection.get(), connection);
-        connection->begin();
-        accept();
-    });
+    const auto connection = std::make_shared<DoorConnection>(this, std::move(socket));
+    m_connections.emplace(connection.get(), connection);
+    connection->begin();
 }
 
 void HttpDoor::handle(DoorMessage &&message, TimePoint now)
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -4,6 +4,7 @@
 /// Messages are parsed by Boost.Beast. Encoding only, no decisions.
 
 #include "core/core.h"
+#include "loop/listener.h"
 #include "loop/loop.h"
 #include "settings/settings.h"
 
@@ -90,16 +91,13 @@
 
 private:
     friend class DoorConnection;
-    using Acceptor = boost::asio::ip::tcp::acceptor;
-
-    HttpDoor(EventLoop *loop, Acceptor acceptor, DoorEvents *events);
-    void accept();
+    HttpDoor(EventLoop *loop, std::unique_ptr<Listener> listener, DoorEvents *events);
+    void accept(boost::asio::ip::tcp::socket socket);
     void on(const DoorAnswer &answer, TimePoint now);
     void on(DoorLimits &&limits, TimePoint now);
     void on(DoorClosing &&, TimePoint now);
 
-    Acceptor m_acceptor;
-    boost::asio::steady_timer m_acceptRetry; ///< waits for descriptors after a failed accept
+    std::unique_ptr<Listener> m_listener;
     DoorEvents *m_events;
     DoorLimits m_limits;
     bool m_isClosing = false;
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -12,8 +12,6 @@
 constexpr Duration checkInterval = std::chrono::milliseconds(200);
 /// While a peer that is dialled has not greeted.
 constexpr Duration dialCheckInterval = std::chrono::milliseconds(50);
-constexpr Duration acceptRetryDelay = std::chrono::milliseconds(100);
-constexpr int listenBacklog = 1024;
 
 } // namespace
 
@@ -23,31 +21,22 @@
     const Result<Endpoint> place = parseEndpoint(self.address);
     if (!place)
         return place.error();
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address_v4(place.value().host, error);
-    const tcp::endpoint endpoint(address, place.value().port);
-    Acceptor acceptor(*loop);
-    if (!error)
-        acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        acceptor.set_option(Acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(endpoint, error);
-    if (!error)
-        acceptor.listen(listenBacklog, error);
-    if (error)
-        return Error::BindFailed;
-    std::unique_ptr<MeshTask> task(new MeshTask(loop, std::move(acceptor), self, events, settings));
-    task->accept();
+    Result<std::unique_ptr<Listener>> listener
+            = Listener::open(loop, place.value().host, place.value().port);
+    if (!listener)
+        return listener.error();
+    std::unique_ptr<MeshTask> task(
+            new MeshTask(loop, std::move(listener.value()), self, events, settings));
+    task->m_listener->start(
+            [own = task.get()](tcp::socket socket) { own->accept(std::move(socket)); });
     task->start();
     return task;
 }
 
-MeshTask::MeshTask(EventLoop *loop, Acceptor acceptor, PeerRef self, MeshEvents *events,
-                   MeshSettings settings)
+MeshTask::MeshTask(EventLoop *loop, std::unique_ptr<Listener> listener, PeerRef self,
+                   MeshEvents *events, MeshSettings settings)
     : LoopTask(loop)
-    , m_acceptor(std::move(acceptor))
-    , m_acceptRetry(*loop)
+    , m_listener(std::move(listener))
     , m_self(std::move(self))
     , m_events(events)
     , m_settings(settings)
@@ -61,25 +50,12 @@
         stream->abandon();
 }
 
-void MeshTask::accept()
+void MeshTask::accept(tcp::socket socket)
 {
-    m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted)
-            return;
-        if (error) {
-            m_acceptRetry.expires_after(acceptRetryDelay);
-            m_acceptRetry.async_wait([this](const boost::system::error_code &cancelled) {
-                if (!cancelled)
-                    accept();
-            });
-            return;
-        }
-        const ChannelId channel = nextChannel();
-        const auto stream = std::make_shared<MeshStream>(this, std::move(socket), channel);
-        m_incoming.emplace(channel, stream);
-        stream->begin();
-        accept();
-    });
+    const ChannelId channel = nextChannel();
+    const auto stream = std::make_shared<MeshStream>(this, std::move(socket), channel);
+    m_incoming.emplace(channel, stream);
+    stream->begin();
 }
 
 void MeshTask::handle(MeshMessage &&message, TimePoint now)
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -3,6 +3,7 @@
 /// Streams between nodes over TCP on an event loop: length-prefixed batches of protobuf frames.
 
 #include "link/link.h"
+#include "loop/listener.h"
 #include "loop/loop.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -75,11 +76,9 @@
 
 private:
     friend class MeshStream;
-    using Acceptor = boost::asio::ip::tcp::acceptor;
-
-    MeshTask(EventLoop *loop, Acceptor acceptor, PeerRef self, MeshEvents *events,
+    MeshTask(EventLoop *loop, std::unique_ptr<Listener> listener, PeerRef self, MeshEvents *events,
              MeshSettings settings);
-    void accept();
+    void accept(boost::asio::ip::tcp::socket socket);
     void on(SendToPeer &&message, TimePoint now);
     void on(SendOnChannel &&message, TimePoint now);
     std::shared_ptr<MeshStream> streamTo(const PeerRef &peer);
@@ -87,8 +86,7 @@
     void onEnded(MeshStream *stream);
     void markDirty(const std::shared_ptr<MeshStream> &stream);
 
-    Acceptor m_acceptor;
-    boost::asio::steady_timer m_acceptRetry;
+    std::unique_ptr<Listener> m_listener;
     PeerRef m_self;
     MeshEvents *m_events;
     MeshSettings m_settings;
