End only a stream's own attempts when it ends

A stream that had never been greeted was replaced by one to a newer start of its peer; its end was reported by the peer's name, so the entry took the attempt just sent on the new stream for one that had not left, and placed it again. Ruled out: an early refusal of the gate, a late first message of a refused attempt. Change: a stream knows which runs it owes and its end names them; the entry ends only those. Tests: test_mesh aReplacedStreamLeavesTheWorkOfItsSuccessorAlone, test_placement theEndOfAnotherStreamLeavesAnAttemptAlone (neither event could be told apart before).

--- a/src/call/call.h
+++ b/src/call/call.h
@@ -53,6 +53,15 @@
     std::optional<PeerRef> alternate; ///< where the key may move if it is refused here
 };
 
+/// Names one attempt of one entry node.
+struct AttemptRef
+{
+    RequestId request;
+    AttemptNumber attempt;
+
+    friend auto operator<=>(const AttemptRef &, const AttemptRef &) = default;
+};
+
 /// What a target's node says of its load; receivers note when it arrived.
 struct LoadReport
 {
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -239,6 +239,40 @@
     return actions;
 }
 
+void Entry::endUnanswered(const InstanceId &peer, AttemptRef ref, bool wasSent,
+                          EntryActions *actions, TimePoint now, WallTime wall)
+{
+    const auto found = m_calls.find(ref.request);
+    if (found == m_calls.end())
+        return;
+    Call &call = found->second;
+    const auto attempt = std::find_if(call.open.begin(), call.open.end(), [&](const Attempt &open) {
+        return open.number == ref.attempt && open.peer.instance == peer;
+    });
+    if (attempt == call.open.end())
+        return;
+    const Attempt ended = *attempt;
+    call.open.erase(attempt);
+    Answer answer
+            = refusal(ref.request, wasSent ? Error::AnswerLost : Error::TargetUnreachable, true);
+    answer.outcome = wasSent || call.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+    answer.wasOffered = wasSent;
+    endAttempt(&call, ended, std::move(answer), wasSent, actions, now, wall);
+}
+
+EntryActions Entry::streamEnded(const InstanceId &peer, bool wasOpen,
+                                const std::vector<AttemptRef> &unanswered, TimePoint now,
+                                WallTime wall)
+{
+    EntryActions actions;
+    // After a stream that worked has broken, a new one may work at once.
+    if (!wasOpen)
+        m_router->onUnreachable(peer, now);
+    for (const AttemptRef &ref : unanswered)
+        endUnanswered(peer, ref, wasOpen, &actions, now, wall);
+    return actions;
+}
+
 EntryActions Entry::peerLost(const InstanceId &peer, TimePoint now, WallTime wall)
 {
     return endAttemptsOn(peer, Outcome::Unknown, Error::AnswerLost, true, now, wall);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -124,6 +124,12 @@
     /// No stream to \a peer could be opened; attempts on it were not sent.
     EntryActions peerUnreachable(const InstanceId &peer, TimePoint now, WallTime wall);
 
+    /// One stream to \a peer has ended without answers to \a unanswered; they were not sent unless
+    /// \a wasOpen. Other attempts at that peer go on.
+    EntryActions streamEnded(const InstanceId &peer, bool wasOpen,
+                             const std::vector<AttemptRef> &unanswered, TimePoint now,
+                             WallTime wall);
+
     /// The caller went away.
     EntryActions cancel(RequestId id, TimePoint now, WallTime wall);
 
@@ -225,6 +231,8 @@
                        TimePoint now, WallTime wall);
     EntryActions endAttemptsOn(const InstanceId &peer, Outcome outcome, Error reason, bool wasSent,
                                TimePoint now, WallTime wall);
+    void endUnanswered(const InstanceId &peer, AttemptRef ref, bool wasSent, EntryActions *actions,
+                       TimePoint now, WallTime wall);
     const DirectoryEntry *lookUp(const InstanceId &instance) const;
     PickRequest pickRequest(const Call &call) const;
 
--- a/src/entry/tests/test_placement.cpp
+++ b/src/entry/tests/test_placement.cpp
@@ -186,3 +186,22 @@
     }
     BOOST_TEST(delays.size() > 15U);
 }
+
+/// The end of an older stream to the same target says nothing of an attempt on a newer one; it
+/// used to be taken as not sent and placed a second time.
+BOOST_FIXTURE_TEST_CASE(theEndOfAnotherStreamLeavesAnAttemptAlone, Fixture)
+{
+    EntryActions actions = begin(false);
+    const SendRun first = *sent(actions);
+    const AttemptRef other{RequestId{999}, AttemptNumber{1}};
+    actions = entry->streamEnded(first.to.instance, false, {other}, start, noWall);
+    BOOST_TEST(actions.empty());
+    actions = entry->streamEnded(first.to.instance, false, {{first.run.request, first.run.attempt}},
+                                 start, noWall);
+    BOOST_REQUIRE(sent(actions) != nullptr);
+    const SendRun second = *sent(actions);
+    actions = entry->streamEnded(second.to.instance, true,
+                                 {{second.run.request, second.run.attempt}}, start, noWall);
+    BOOST_TEST(sent(actions) == nullptr);
+    BOOST_TEST((finished(actions)->answer.outcome == Outcome::Unknown));
+}
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -152,7 +152,7 @@
     const auto found = m_outgoing.find(peer);
     if (found != m_outgoing.end() && found->second.get() == stream)
         m_outgoing.erase(found);
-    m_events->onPeerEnded(peer, wasOpen);
+    m_events->onPeerEnded(peer, wasOpen, stream->takeOwed());
 }
 
 } // namespace buckthornford
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -39,9 +39,12 @@
     /// A frame on this node's own stream to \a peer.
     virtual void onPeerFrame(const PeerRef &peer, Frame frame) = 0;
 
-    /// This node's stream to \a peer has ended; \a wasOpen if the peer had greeted before, so
-    /// that what was sent may have arrived.
-    virtual void onPeerEnded(const InstanceId &peer, bool wasOpen) = 0;
+    /// This node's stream to \a peer has ended without answers to \a unanswered. Only these are
+    /// touched: another stream to the same peer may be in use already. \a wasOpen if the peer had
+    /// greeted before, so that they may have arrived.
+    virtual void onPeerEnded(const InstanceId &peer, bool wasOpen,
+                             std::vector<AttemptRef> unanswered)
+            = 0;
 
     /// A frame on a stream that \a from opened.
     virtual void onChannelFrame(ChannelId channel, const PeerRef &from, Frame frame) = 0;
--- a/src/mesh/stream.cpp
+++ b/src/mesh/stream.cpp
@@ -81,9 +81,10 @@
 {
     if (m_isClosed)
         return;
-    if (std::holds_alternative<Run>(frame)) {
-        if (m_owed++ == 0)
+    if (const auto *run = std::get_if<Run>(&frame)) {
+        if (m_owed.empty())
             m_owedSince = monotonicNow();
+        m_owed.insert({run->request, run->attempt});
     }
     encode(frame, m_waiting.add_frames());
 }
@@ -188,8 +189,8 @@
     }
     if (std::holds_alternative<Pong>(frame))
         return;
-    if (std::holds_alternative<Answer>(frame) && m_owed > 0)
-        --m_owed;
+    if (const auto *answer = std::get_if<Answer>(&frame))
+        m_owed.erase({answer->request, answer->attempt});
     m_owner->onFrame(this, std::move(frame));
 }
 
@@ -212,7 +213,7 @@
 {
     if (!m_wasOpen)
         return now - m_opened <= settings.connectLimit;
-    if (m_owed == 0)
+    if (m_owed.empty())
         return true;
     const TimePoint heard = std::max(m_lastReceived, m_owedSince);
     if (now - heard > settings.silenceLimit)
@@ -225,6 +226,12 @@
     return true;
 }
 
+std::vector<AttemptRef> MeshStream::takeOwed()
+{
+    const std::set<AttemptRef> owed = std::exchange(m_owed, {});
+    return {owed.begin(), owed.end()};
+}
+
 void MeshStream::abandon()
 {
     m_isClosed = true;
--- a/src/mesh/stream_p.h
+++ b/src/mesh/stream_p.h
@@ -3,6 +3,8 @@
 #include "link/codec_p.h"
 #include "mesh/mesh.h"
 
+#include <set>
+
 namespace buckthornford {
 
 /// One TCP connection to or from another node.
@@ -34,6 +36,10 @@
 
     bool isOutgoing() const { return m_channel == ChannelId{}; }
     bool wasOpen() const { return m_wasOpen; }
+
+    /// Hands over the runs that the peer has not answered.
+    std::vector<AttemptRef> takeOwed();
+
     ChannelId channel() const { return m_channel; }
     const PeerRef &peer() const { return m_peer; }
 
@@ -58,8 +64,8 @@
     TimePoint m_opened;
     TimePoint m_lastReceived;
     TimePoint m_lastPing;
-    TimePoint m_owedSince;    ///< of the oldest frame that is owed, roughly
-    std::uint32_t m_owed = 0; ///< answers that the peer owes
+    TimePoint m_owedSince;       ///< of the oldest frame that is owed, roughly
+    std::set<AttemptRef> m_owed; ///< runs that the peer has not answered
     bool m_isConnected = false;
     bool m_wasOpen = false;
     bool m_isWriting = false;
--- a/src/mesh/tests/test_mesh.cpp
+++ b/src/mesh/tests/test_mesh.cpp
@@ -15,7 +15,11 @@
         peers.push_back(peer);
         peerFrames.push_back(std::move(frame));
     }
-    void onPeerEnded(const InstanceId &, bool wasOpen) override { ended.push_back(wasOpen); }
+    void onPeerEnded(const InstanceId &, bool wasOpen, std::vector<AttemptRef> unanswered) override
+    {
+        ended.push_back(wasOpen);
+        lost.insert(lost.end(), unanswered.begin(), unanswered.end());
+    }
     void onChannelFrame(ChannelId channel, const PeerRef &from, Frame frame) override
     {
         lastChannel = channel;
@@ -27,6 +31,7 @@
     std::vector<PeerRef> peers;
     std::vector<Frame> peerFrames;
     std::vector<bool> ended;
+    std::vector<AttemptRef> lost;
     std::vector<PeerRef> callers;
     std::vector<Frame> channelFrames;
     ChannelId lastChannel;
@@ -137,3 +142,17 @@
     pair.runUntil([&] { return !pair.eventsA.ended.empty(); });
     BOOST_TEST(pair.eventsA.ended.front());
 }
+
+/// A stream that makes room for one to a newer start of the peer takes only its own work along.
+BOOST_AUTO_TEST_CASE(aReplacedStreamLeavesTheWorkOfItsSuccessorAlone)
+{
+    Pair pair(41321, 41322);
+    const PeerRef old{pair.b.instance, Incarnation{7}, "127.0.0.1:41398"};
+    pair.meshA->post(SendToPeer{old, run(1)});
+    pair.meshA->post(SendToPeer{pair.b, run(2)});
+    pair.runUntil([&] { return !pair.eventsB.channelFrames.empty(); });
+    BOOST_TEST(std::get<Run>(pair.eventsB.channelFrames.front()).request.value() == 2U);
+    pair.runUntil([&] { return !pair.eventsA.ended.empty(); });
+    BOOST_TEST(pair.eventsA.lost.size() == 1U);
+    BOOST_TEST(pair.eventsA.lost.front().request.value() == 1U);
+}
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -150,9 +150,9 @@
 
 void ProxyTask::on(PeerStreamEnded &&message, TimePoint now)
 {
-    carryOut(message.wasOpen ? m_entry.peerLost(message.peer, now, noWallTime)
-                             : m_entry.peerUnreachable(message.peer, now, noWallTime),
-             now);
+    carryOut(
+            m_entry.streamEnded(message.peer, message.wasOpen, message.unanswered, now, noWallTime),
+            now);
 }
 
 void ProxyTask::on(RunArrived &&message, TimePoint now)
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -37,6 +37,7 @@
 {
     InstanceId peer;
     bool wasOpen = false;
+    std::vector<AttemptRef> unanswered;
 };
 
 struct RunArrived
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -62,7 +62,8 @@
     void onLeft(RequestId id) override { proxy->post(CallerGone{id}); }
 
     void onPeerFrame(const PeerRef &peer, Frame frame) override;
-    void onPeerEnded(const InstanceId &peer, bool wasOpen) override;
+    void onPeerEnded(const InstanceId &peer, bool wasOpen,
+                     std::vector<AttemptRef> unanswered) override;
     void onChannelFrame(ChannelId channel, const PeerRef &from, Frame frame) override;
     void onChannelClosed(ChannelId channel) override { proxy->post(ChannelEnded{channel}); }
 
@@ -243,9 +244,10 @@
     proxy->post(PeerAnswered{peer.instance, std::move(frame)});
 }
 
-void ServiceNode::Private::onPeerEnded(const InstanceId &peer, bool wasOpen)
+void ServiceNode::Private::onPeerEnded(const InstanceId &peer, bool wasOpen,
+                                       std::vector<AttemptRef> unanswered)
 {
-    proxy->post(PeerStreamEnded{peer, wasOpen});
+    proxy->post(PeerStreamEnded{peer, wasOpen, std::move(unanswered)});
     gossip->post(GossipPeerEnded{peer, wasOpen});
 }
 
