--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -124,17 +124,21 @@
 BOOST_FIXTURE_TEST_CASE(ambiguousMessagesAreRefused, Fixture)
 {
     const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto post = [](const std::string &fields) {
+        return "POST /a HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n\r\n";
+    };
+    const std::string chunked = "Transfer-Encoding: chunked";
+    const std::string greeting{'\x16', '\x03', '\x01', '\x02', '\0', '\x01'}; // of TLS
     const std::vector<std::string> heads{
-            "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n",
-            "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: "
-            "chunked\r\n\r\n",
-            "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-            "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
-            "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1x\r\n\r\n",
+            post("Content-Length: 5\r\nContent-Length: 6"),
+            post("Content-Length: 5\r\n" + chunked),
+            post(chunked) + "zz\r\n",
+            post("Content-Length: -1"),
+            post("Content-Length: 1x"),
             "GET /a HTTP/1.1\r\nHost : h\r\n\r\n",
             std::string("GET /a HTTP/1.1\r\nHost: h") + '\0' + "x\r\n\r\n",
             "GET /a\r\n\r\n",
-            "\x16\x03\x01\x02\x00\x01",
+            greeting,
     };
     for (const std::string &head : heads) {
         connect();
