Keep the ports of tests out of the range of outgoing connections

Cause: test_mesh failed once of five runs, in a whole test run: two cases could not bind their fixed ports (41319, 41321; SIGABRT from the value of a BindFailed result), which lie in the range that the system hands to outgoing connections (32768 to 60999), and other tests ran beside it. Change: ports from 21311 and 22500 on. No check changed.

--- a/src/mesh/tests/test_mesh.cpp
+++ b/src/mesh/tests/test_mesh.cpp
@@ -81,7 +81,7 @@
 
 BOOST_AUTO_TEST_CASE(aRunAndItsAnswerTravel)
 {
-    Pair pair(41311, 41312);
+    Pair pair(21311, 21312);
     pair.meshA->post(SendToPeer{pair.b, run(7)});
     pair.runUntil([&] { return !pair.eventsB.channelFrames.empty(); });
     const Run &arrived = std::get<Run>(pair.eventsB.channelFrames.front());
@@ -101,7 +101,7 @@
 /// A reply to a frame on the node's own stream goes out on that stream; it used to break it.
 BOOST_AUTO_TEST_CASE(aReplyToAPeerKeepsTheStream)
 {
-    Pair pair(41313, 41314);
+    Pair pair(21313, 21314);
     pair.meshA->post(SendToPeer{pair.b, Gossip{}});
     pair.runUntil([&] { return !pair.eventsB.channelFrames.empty(); });
     pair.meshB->post(SendOnChannel{pair.eventsB.lastChannel, Gossip{}});
@@ -115,8 +115,8 @@
 
 BOOST_AUTO_TEST_CASE(aPeerThatNeverGreetedHasGotNothing)
 {
-    Pair pair(41315, 41316);
-    const PeerRef nobody{InstanceId{"c"}, Incarnation{1}, "127.0.0.1:41399"};
+    Pair pair(21315, 21316);
+    const PeerRef nobody{InstanceId{"c"}, Incarnation{1}, "127.0.0.1:21399"};
     pair.meshA->post(SendToPeer{nobody, run(1)});
     pair.runUntil([&] { return !pair.eventsA.ended.empty(); });
     BOOST_TEST(!pair.eventsA.ended.front());
@@ -124,7 +124,7 @@
 
 BOOST_AUTO_TEST_CASE(workForAnotherInstanceAtTheAddressIsNotSent)
 {
-    Pair pair(41317, 41318);
+    Pair pair(21317, 21318);
     PeerRef wrong = pair.b;
     wrong.instance = InstanceId{"c"};
     pair.meshA->post(SendToPeer{wrong, run(1)});
@@ -135,7 +135,7 @@
 
 BOOST_AUTO_TEST_CASE(aBrokenStreamIsReportedAtBothEnds)
 {
-    Pair pair(41319, 41320);
+    Pair pair(21319, 21320);
     pair.meshA->post(SendToPeer{pair.b, run(1)});
     pair.runUntil([&] { return !pair.eventsB.channelFrames.empty(); });
     pair.meshB.reset();
@@ -146,8 +146,8 @@
 /// A stream that makes room for one to a newer start of the peer takes only its own work along.
 BOOST_AUTO_TEST_CASE(aReplacedStreamLeavesTheWorkOfItsSuccessorAlone)
 {
-    Pair pair(41321, 41322);
-    const PeerRef old{pair.b.instance, Incarnation{7}, "127.0.0.1:41398"};
+    Pair pair(21321, 21322);
+    const PeerRef old{pair.b.instance, Incarnation{7}, "127.0.0.1:21398"};
     pair.meshA->post(SendToPeer{old, run(1)});
     pair.meshA->post(SendToPeer{pair.b, run(2)});
     pair.runUntil([&] { return !pair.eventsB.channelFrames.empty(); });
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -78,7 +78,7 @@
 class PlatformPath(unittest.TestCase):
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
-        ports = Ports(42500 + (os.getpid() % 500) * 8)
+        ports = Ports(22500 + (os.getpid() % 500) * 8)
         store_port = ports.take()
         self.store = Store(store_port)
         self.store.put_configuration(configuration(3, [SAFE, UNSAFE], ["tracker", "affirmer"]))
