Tell neighbours of a newer configuration, and let watches end in turn

A node's watch on the operator's row is held open for up to 21.5 s, so one that began before the outage told nothing until 24.8 s, and the repeats after it waited too.

Ruled out: probes by the operating system on the watch's connection. They are on, and the logs show the watch ending by its own timeout only.

Change: a node that has taken a configuration tells its neighbours the revision; one that is behind asks for the text 100 ms later, if the store hasn't told it meanwhile. Watches last 2 to 25 s, longer in larger fleets and spread, so that some watch of the fleet ends about every half second.

Before: the new test aConfigurationThatOneNodeReadReachesAllWithinASecond fails at 23 of 24 nodes. After: it passes.

--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -73,6 +73,9 @@
         Duration tombstone{std::chrono::minutes(60)}; ///< how long the dead are remembered
         Duration exchange{std::chrono::seconds(1)};   ///< between comparisons of tables
         Duration rejoin{std::chrono::seconds(3)};     ///< between tries to reach the dead and seeds
+        /// For which a newer configuration may come from the platform itself before it is asked of
+        /// a peer.
+        Duration configurationWait{std::chrono::milliseconds(100)};
         std::uint64_t seed = 1;
     };
 
@@ -124,9 +127,13 @@
     /// Counts changes; equal numbers mean an unchanged table.
     std::uint64_t changeCount() const { return m_changes; }
 
+    /// This node has taken \a configuration; the next tick tells the neighbours its revision.
     void setRevision(Revision revision, std::string configuration);
     Revision revision() const { return m_revision; }
 
+    /// When a configuration that a peer told of is to be asked for, if one is missing.
+    std::optional<TimePoint> configurationDue() const;
+
 private:
     struct Known
     {
@@ -134,6 +141,14 @@
         TimePoint since; ///< of the last change
     };
 
+    /// A peer that has a newer configuration than this node.
+    struct Ahead
+    {
+        PeerRef peer;
+        Revision revision;
+        TimePoint since; ///< when a newer one than this node's was heard of first
+    };
+
     static constexpr std::size_t bucketCount = 64;
 
     bool merge(const Member &member, TimePoint now);
@@ -146,6 +161,9 @@
     void ageOut(TimePoint now, std::vector<Member> *news);
     void reachOut(Sendings *sendings);
     void compare(Sendings *sendings);
+    void noteRevision(const PeerRef &from, Revision revision, TimePoint now);
+    void tellRevision(Sendings *sendings);
+    void askForConfiguration(Sendings *sendings, TimePoint now);
     static std::size_t bucketOf(const InstanceId &instance);
 
     Member m_self;
@@ -155,7 +173,9 @@
     std::map<InstanceId, Known> m_others;
     std::uint64_t m_changes = 1;
     Revision m_revision;
+    Revision m_toldRevision; ///< to the neighbours
     std::string m_configuration;
+    std::optional<Ahead> m_ahead;
     TimePoint m_nextExchange;
     TimePoint m_nextRejoin;
 };
--- a/src/membership/tests/test_membership.cpp
+++ b/src/membership/tests/test_membership.cpp
@@ -61,6 +61,9 @@
             if (target == nullptr || isCut(sender.instance, target->self().peer.instance))
                 continue;
             ++delivered;
+            if (!sending.gossip.configuration.empty()
+                && sending.gossip.revision > target->revision())
+                target->setRevision(sending.gossip.revision, sending.gossip.configuration);
             for (auto &next : target->receive(sender, sending.gossip, now))
                 queue.emplace_back(target->self().peer, std::move(next));
         }
@@ -177,6 +180,17 @@
     }
 }
 
+/// The store answers one node only, such as the first that asks after an outage.
+BOOST_AUTO_TEST_CASE(aConfigurationThatOneNodeReadReachesAllWithinASecond)
+{
+    Group group(24);
+    group.tick(0, 8000);
+    group.node(5).setRevision(Revision{7}, "text");
+    group.tick(8000, 9000);
+    for (int i = 0; i < 24; ++i)
+        BOOST_TEST(group.node(i).revision().value() == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(fewReadThePlatform)
 {
     Group group(40);
--- a/src/proxy/gossip_task.cpp
+++ b/src/proxy/gossip_task.cpp
@@ -1,5 +1,7 @@
 #include "proxy/gossip_task.h"
 
+#include <algorithm>
+
 namespace buckthornford {
 
 namespace {
@@ -31,7 +33,7 @@
 TimePoint GossipTask::tick(TimePoint now)
 {
     send(m_membership.tick(now));
-    return now + tickInterval;
+    return std::min(now + tickInterval, m_membership.configurationDue().value_or(TimePoint::max()));
 }
 
 /// Tells of changes once for all messages that came together.
@@ -63,6 +65,8 @@
         else
             m_outputs.mesh(SendToPeer{sending.to, sending.gossip});
     }
+    if (const auto due = m_membership.configurationDue())
+        wakeBy(*due);
 }
 
 void GossipTask::on(GossipPeerEnded &&message, TimePoint now)
@@ -77,9 +81,10 @@
     m_membership.addSeeds(std::move(message.addresses));
 }
 
-void GossipTask::on(ConfigurationHeld &&message, TimePoint)
+void GossipTask::on(ConfigurationHeld &&message, TimePoint now)
 {
     m_membership.setRevision(message.revision, std::move(message.text));
+    wakeBy(now);
 }
 
 void GossipTask::on(NodeCondition &&message, TimePoint)
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -160,7 +160,7 @@
     outputs.mesh = [this](MeshMessage message) { mesh->post(std::move(message)); };
     outputs.members = [this](MembersChanged members) {
         if (store)
-            store->post(PeersKnown{gossip->liveCount() > 0});
+            store->post(PeersKnown{gossip->liveCount()});
         proxy->post(std::move(members));
     };
     outputs.configuration = [this](const std::string &text) { takeConfiguration(text); };
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -7,8 +7,12 @@
 namespace {
 
 constexpr Duration callTimeout = std::chrono::milliseconds(1500);
-/// How long the store may hold back the answer to a watch.
-constexpr Duration watchSpan = std::chrono::seconds(20);
+/// Bounds of the time for which the store may hold back the answer to a watch.
+constexpr Duration shortestWatch = std::chrono::seconds(2);
+constexpr Duration longestWatch = std::chrono::seconds(25);
+/// Of the watches' length for each node in the fleet: a watch that the store has lost in an outage
+/// is found out when it ends, so some node's should end every half second.
+constexpr Duration watchSpacing = std::chrono::milliseconds(600);
 constexpr Duration firstPause = std::chrono::milliseconds(200);
 constexpr Duration longestPause = std::chrono::seconds(2);
 constexpr Duration listingInterval = std::chrono::seconds(1); ///< while no other node is known
@@ -82,7 +86,8 @@
 
 void StoreTask::on(PeersKnown &&message, TimePoint now)
 {
-    if (std::exchange(m_isAlone, !message.any) == !message.any || message.any)
+    const bool wasAlone = std::exchange(m_peerCount, message.count) == 0;
+    if (wasAlone || message.count > 0)
         return;
     m_repeated[Listing].isWanted = true;
     m_repeated[Listing].due = now;
@@ -93,7 +98,7 @@
 {
     switch (kind) {
     case Configuration:
-        return m_isWatching ? m_dialect->watchConfiguration(m_version, watchSpan)
+        return m_isWatching ? m_dialect->watchConfiguration(m_version, m_watchSpan)
                             : m_dialect->readConfiguration();
     case Node:
         return m_isLeaving ? m_dialect->removeNode(m_self->key)
@@ -105,12 +110,22 @@
     return m_dialect->listNodes();
 }
 
+/// Spread, so that the watches of the fleet end one after the other.
+Duration StoreTask::chooseWatchSpan()
+{
+    const auto fleet = static_cast<Duration::rep>(m_peerCount) + 1;
+    const Duration span = std::clamp(fleet * watchSpacing, shortestWatch, longestWatch);
+    std::uniform_real_distribution<double> spread(0.5, 1.0);
+    return scaled(span, spread(m_random));
+}
+
 void StoreTask::begin(CallKind kind, TimePoint now)
 {
     RepeatedCall &call = m_repeated[kind];
     const bool isWatch = kind == Configuration && m_isWatching;
     call.isRunning = true;
-    call.timeout = now + callTimeout + (isWatch ? watchSpan : Duration{0});
+    m_watchSpan = isWatch ? chooseWatchSpan() : m_watchSpan;
+    call.timeout = now + callTimeout + (isWatch ? m_watchSpan : Duration{0});
     const std::uint64_t number = ++call.number;
     if (!call.connection || !call.connection->isReusable())
         call.connection = std::make_shared<ClientConnection>(&loop());
@@ -170,7 +185,7 @@
         break;
     case Listing:
         m_outputs.nodes(answer.rows);
-        call.isWanted = m_isAlone;
+        call.isWanted = m_peerCount == 0;
         call.due = now + listingInterval;
         break;
     case CallKindCount:
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -24,10 +24,10 @@
 struct RemoveSelf
 {};
 
-/// Whether other nodes are known; a node that knows none keeps asking the store.
+/// How many other nodes are known; a node that knows none keeps asking the store.
 struct PeersKnown
 {
-    bool any = false;
+    std::size_t count = 0;
 };
 
 using StoreMessage = std::variant<PutSelf, RemoveSelf, PeersKnown>;
@@ -76,6 +76,7 @@
     void end(CallKind kind, const StoreAnswer &answer, TimePoint now);
     void fail(CallKind kind, TimePoint now);
     ClientRequest requestFor(CallKind kind) const;
+    Duration chooseWatchSpan();
     void takeConfiguration(const StoreAnswer &answer);
     void noteReachable(bool isReachable);
 
@@ -88,7 +89,8 @@
     bool m_isWatching = false;   ///< the configuration was read, its changes are awaited
     std::optional<PutSelf> m_self;
     bool m_isLeaving = false;
-    bool m_isAlone = true;
+    std::size_t m_peerCount = 0;
+    Duration m_watchSpan{0}; ///< for which the store may hold back the answer to this watch
     std::optional<bool> m_isReachable;
     std::uint64_t m_calls = 0;
 };
