Bound every number that the adapter decodes; fuzz its decoders

Cause: a row of another writer with IsDeleted as a text ended the process by an exception of the JSON library (new test rowsOfOtherWritersDoNoHarm: fatal error before). Numbers that no counter or span holds (1e300 attempts, 2^32 slots) were cast as they came.

Change: flags, spans and counts are decoded by one function each that refuses what is out of bounds; a configuration with such a number is passed over whole, a heartbeat names no target, settings and limits keep their defaults. Fields that nothing decided by (warm-up time, the slots and the fourth figure of the load field) are no longer decoded. Fuzzers for settings, configuration, heartbeats and store answers, with a corpus; all eight fuzzers are built with address and undefined-behaviour checks for the first time.

--- a/cmake/Slices.cmake
+++ b/cmake/Slices.cmake
@@ -6,8 +6,9 @@
   target_compile_options(project_options INTERFACE -Werror)
 endif()
 if(BUCKTHORNFORD_FUZZERS)
-  target_compile_options(project_options INTERFACE -fsanitize=fuzzer-no-link,address)
-  target_link_options(project_options INTERFACE -fsanitize=address)
+  target_compile_options(project_options INTERFACE -fsanitize=fuzzer-no-link,address,undefined,float-cast-overflow
+                         -fno-sanitize-recover=undefined,float-cast-overflow)
+  target_link_options(project_options INTERFACE -fsanitize=address,undefined)
 endif()
 target_include_directories(project_options INTERFACE ${CMAKE_SOURCE_DIR}/src)
 
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -46,8 +46,6 @@
 {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
-    std::uint32_t slots = 0;
-    double slowness = 1.0; ///< how long work takes there now, 1 as usual
 };
 
 /// How an execution ended at the upstream.
--- a/src/proxy/adapter.h
+++ b/src/proxy/adapter.h
@@ -48,7 +48,6 @@
     ServiceName service;
     Endpoint address;
     Slots slots;
-    Duration warmupLeft{0};
 };
 
 /// Reads the reports of the upstream beside the node.
