--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -15,14 +15,11 @@
 
 } // namespace
 
-Result<std::unique_ptr<MeshTask>> MeshTask::listen(EventLoop *loop, const PeerRef &self,
-                                                   MeshEvents *events, MeshSettings settings)
+Result<std::unique_ptr<MeshTask>> MeshTask::listen(EventLoop *loop, const Endpoint &place,
+                                                   const PeerRef &self, MeshEvents *events,
+                                                   MeshSettings settings)
 {
-    const Result<Endpoint> place = parseEndpoint(self.address);
-    if (!place)
-        return place.error();
-    Result<std::unique_ptr<Listener>> listener
-            = Listener::open(loop, place.value().host, place.value().port);
+    Result<std::unique_ptr<Listener>> listener = Listener::open(loop, place.host, place.port);
     if (!listener)
         return listener.error();
     std::unique_ptr<MeshTask> task(
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -65,9 +65,10 @@
 class MeshTask : public LoopTask<MeshMessage>
 {
 public:
-    /// Error::BindFailed if the endpoint of \a self can't be used.
-    static Result<std::unique_ptr<MeshTask>> listen(EventLoop *loop, const PeerRef &self,
-                                                    MeshEvents *events, MeshSettings settings);
+    /// Listens at \a place for streams to \a self. Error::BindFailed if that can't be done.
+    static Result<std::unique_ptr<MeshTask>> listen(EventLoop *loop, const Endpoint &place,
+                                                    const PeerRef &self, MeshEvents *events,
+                                                    MeshSettings settings);
     ~MeshTask() override;
 
     std::uint64_t sentBytes() const { return m_sentBytes; }
--- a/src/mesh/tests/test_mesh.cpp
+++ b/src/mesh/tests/test_mesh.cpp
@@ -44,8 +44,12 @@
     Pair(std::uint16_t portA, std::uint16_t portB)
         : a{InstanceId{"a"}, Incarnation{1}, "127.0.0.1:" + std::to_string(portA)}
         , b{InstanceId{"b"}, Incarnation{1}, "127.0.0.1:" + std::to_string(portB)}
-        , meshA(std::move(MeshTask::listen(&loop, a, &eventsA, MeshSettings{}).value()))
-        , meshB(std::move(MeshTask::listen(&loop, b, &eventsB, MeshSettings{}).value()))
+        , meshA(std::move(MeshTask::listen(&loop, parseEndpoint(a.address).value(), a, &eventsA,
+                                           MeshSettings{})
+                                  .value()))
+        , meshB(std::move(MeshTask::listen(&loop, parseEndpoint(b.address).value(), b, &eventsB,
+                                           MeshSettings{})
+                                  .value()))
     {}
 
     /// Runs the loop until \a condition holds; at most five seconds.
--- a/src/proxy/proxy_log.cpp
+++ b/src/proxy/proxy_log.cpp
@@ -59,6 +59,7 @@
                          {{"request", callerId(action.request)},
                           {"service", span.service.value()},
                           {"route", span.operation.value()},
+                          {"class", span.className.value()},
                           {"outcome", outcomeName(result.answer.outcome)},
                           {"reason", errorRow(result.answer.reason).name},
                           {"status", std::int64_t{result.answer.status}},
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -107,12 +107,13 @@
     , adapter(nodeAdapter)
     , settingsReader(std::move(reader))
     , self{settings.instance, Incarnation{static_cast<std::uint64_t>(steadyWallNow().value())},
-           settings.peers.toString()}
+           settings.advertised.value_or(settings.peers).toString()}
 {}
 
 Result<void> ServiceNode::Private::open()
 {
-    Result<std::unique_ptr<MeshTask>> peers = MeshTask::listen(&loop, self, this, MeshSettings{});
+    Result<std::unique_ptr<MeshTask>> peers
+            = MeshTask::listen(&loop, settings.peers, self, this, MeshSettings{});
     if (!peers)
         return peers.error();
     mesh = std::move(peers.value());
--- a/src/proxy/service_node.h
+++ b/src/proxy/service_node.h
@@ -23,6 +23,7 @@
     Endpoint announcements;
     Endpoint readiness;
     Endpoint peers;
+    std::optional<Endpoint> advertised; ///< peer door as others dial it, if a relay is before it
     Endpoint metrics;
     std::optional<Endpoint> store;
     std::vector<std::string> seeds; ///< peer doors of a few other nodes
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -12,6 +12,9 @@
 import urllib.request
 
 
+SLOW_S = 0.3  # of a call while the store is slow
+
+
 class Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
     allow_reuse_address = True
@@ -30,6 +33,10 @@
     def body(self):
         return self.rfile.read(int(self.headers.get("Content-Length", 0)))
 
+    def hang_up(self):
+        self.close_connection = True
+        self.connection.close()
+
     def reply(self, status, body=b"", headers=()):
         if not isinstance(body, bytes):
             body = json.dumps(body).encode()
@@ -49,7 +56,7 @@
         self.version = 1
         self.history = []
         self.forgotten = 0  # versions up to here are no longer in the history
-        self.is_down = False
+        self.fault = None  # "down", "silent", "slow" or "lost"
         self.calls = 0
         self.changed = threading.Condition()
         store = self
@@ -57,28 +64,46 @@
         class StoreHandler(Handler):
             def do_GET(self):
                 store.calls += 1
+                if store.is_hindered(self):
+                    return
                 url = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
-                if store.is_down:
-                    self.reply(503)
-                elif url.path == "/rows-get":
+                if url.path == "/rows-get":
                     self.reply(200, store.read(query))
                 elif url.path == "/rows-feed":
-                    self.reply(*store.feed(query))
+                    answer = store.feed(query)
+                    if not store.is_hindered(self):
+                        self.reply(*answer)
                 else:
                     self.reply(404)
 
             def do_POST(self):
                 store.calls += 1
                 entries = json.loads(self.body())
-                if store.is_down:
-                    self.reply(503)
+                if store.is_hindered(self):
+                    return
+                answer = store.transact(entries)
+                if store.fault == "lost":
+                    self.hang_up()
                 else:
-                    self.reply(*store.transact(entries))
+                    self.reply(*answer)
 
         self.server = Server(("127.0.0.1", port), StoreHandler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
+    def is_hindered(self, handler):
+        """Acts as the fault in force says. Returns whether that ended the call."""
+        if self.fault == "slow":
+            time.sleep(SLOW_S)
+        if self.fault == "down":
+            handler.reply(503)
+        if self.fault == "silent":
+            while self.fault == "silent":
+                time.sleep(0.05)
+            handler.hang_up()
+            return True
+        return self.fault == "down"
+
     def answer(self, rows):
         return {"Rows": rows, "HasMore": False, "Ver": self.version, "NowMs": int(time.monotonic() * 1000)}
 
@@ -100,8 +125,8 @@
                     return (410, {})
                 rows = [row for row in self.history if row["Ver"] > after and row["Table"] == query["Table"]]
                 left = end - time.monotonic()
-                if rows or left <= 0 or self.is_down:
-                    return (200, self.answer(rows)) if not self.is_down else (503, {})
+                if rows or left <= 0 or self.fault in ("down", "silent"):
+                    return (200, self.answer(rows))
                 self.changed.wait(left)
 
     def transact(self, entries):
@@ -125,9 +150,9 @@
         value = base64.b64encode(json.dumps(document).encode()).decode()
         self.transact({"Puts": [{"Table": "op", "part": "", "Key": "config", "Value": value}]})
 
-    def set_down(self, is_down):
+    def set_fault(self, fault):
         with self.changed:
-            self.is_down = is_down
+            self.fault = fault
             self.changed.notify_all()
 
     def forget(self):
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -167,7 +167,7 @@
         removed = configuration(9, [UNSAFE], ["tracker", "affirmer"])
         self.store.put_configuration(removed)
         time.sleep(0.5)
-        self.store.set_down(True)
+        self.store.set_fault("down")
         self.nodes[0].kill()
         # The store can't tell it anything and no seed is set: peers that knew it come back to it.
         self.nodes[0].start()
@@ -176,10 +176,10 @@
             self.assertEqual(self.ask(node, "/status/x")[0], 404)
 
     def test_the_store_may_be_down_or_forget(self):
-        self.store.set_down(True)
+        self.store.set_fault("down")
         time.sleep(0.5)
         self.assertTrue(self.serves_everywhere())
-        self.store.set_down(False)
+        self.store.set_fault(None)
         self.store.forget()
         self.store.put_configuration(configuration(11, [SAFE], ["tracker", "affirmer"]))
         node = self.nodes[2]
@@ -233,6 +233,21 @@
         self.assertEqual(results, [200] * 8)
         self.assertEqual(self.nodes[2].process.wait(timeout=7), 0)
 
+    def test_a_hangup_while_a_node_starts_does_not_end_it(self):
+        node = self.nodes[0]
+        node.kill()
+        settings = node.file.read_text()
+        node.file.unlink()
+        os.mkfifo(node.file)
+        node.start()
+        with open(node.file, "w", encoding="utf-8") as pipe:  # Opens once the node reads it.
+            node.process.send_signal(signal.SIGHUP)
+            regular = node.file.with_suffix(".new")
+            regular.write_text(settings)
+            regular.rename(node.file)
+            pipe.write(settings)
+        fleet.wait_until(node.is_ready, 10, "readiness after the hangup")
+
     def test_all_nodes_killed_at_once_come_back(self):
         for node in self.nodes:
             node.kill()
