Serve the nodes' own counters as metrics; remove what nothing reads

Retries, bytes between nodes, connections to the upstream, store calls and dropped log lines are now on the metrics address; Gate::shedCount, AdaptiveLimiter::isStalled and two unused errors are gone. New test of a start with a lower number than the last (a clock that stepped back).

--- a/src/admission/limiter.h
+++ b/src/admission/limiter.h
@@ -71,8 +71,6 @@
     void tick(std::uint32_t inFlight, TimePoint now) override;
     Slots limit() const override;
 
-    bool isStalled() const { return m_stalled; }
-
 private:
     struct Operation
     {
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -15,7 +15,6 @@
     // Bad input at a door.
     UnknownService,
     UnknownClass,
-    UnknownOperation,
     MissingHeader,
     MalformedHeader,
     MalformedJson,
@@ -56,7 +55,6 @@
     HomeGone,
     KeyExpired,
     AnswerLost,
-    ResultLost,
     // Platform and configuration.
     PlatformUnavailable,
     PlatformBusy,
--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -214,7 +214,6 @@
     auto node = m_executions.extract(id);
     const Execution &execution = node.mapped();
     const Run &run = execution.run;
-    ++m_shed[execution.rank];
     Answer answer = refusal(run, reason, retryable);
     answer.wasOffered = wasOffered;
     if (retryable && run.alternate && usesRecord(run)) {
@@ -355,10 +354,4 @@
             static_cast<std::uint32_t>(m_queue.size())};
 }
 
-std::uint64_t Gate::shedCount(Rank rank) const
-{
-    const auto found = m_shed.find(rank);
-    return found == m_shed.end() ? 0 : found->second;
-}
-
 } // namespace buckthornford
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -135,7 +135,6 @@
 
     LoadReport load() const;
     const ExecutionRecord &record() const { return m_record; }
-    std::uint64_t shedCount(Rank rank) const;
 
 private:
     struct Execution
@@ -172,7 +171,6 @@
     ShortReserve m_reserve;
     std::unordered_map<ExecutionId, Execution> m_executions;
     std::map<ReplyTo, ExecutionId> m_byReply;
-    std::map<Rank, std::uint64_t> m_shed;
     Revision m_rulingRevision;
     std::uint64_t m_nextExecution;
     std::uint32_t m_inFlight = 0;
--- a/src/membership/tests/test_membership.cpp
+++ b/src/membership/tests/test_membership.cpp
@@ -155,6 +155,20 @@
     }
 }
 
+/// The clock that numbers starts may have stepped back.
+BOOST_AUTO_TEST_CASE(aStartWithALowerNumberIsBelievedAllTheSame)
+{
+    Group group(10);
+    group.add(10, 9);
+    group.tick(0, 6000);
+    group.nodes.erase(makeMember(10).peer.instance);
+    group.add(10, 2);
+    group.node(10).announce(MemberState::Serving, Slots{5}, ServiceName{"s"});
+    group.tick(6000, 9000);
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST((group.seen(i, 10) == MemberState::Serving));
+}
+
 BOOST_AUTO_TEST_CASE(aHealedCutIsForgotten)
 {
     Group group(12);
--- a/src/proxy/proxy_log.cpp
+++ b/src/proxy/proxy_log.cpp
@@ -74,7 +74,8 @@
 std::string ProxyTask::metricsText() const
 {
     return m_entryMetrics.exposition("buckthornford_entry")
-           + m_gateMetrics.exposition("buckthornford_gate");
+           + m_gateMetrics.exposition("buckthornford_gate")
+           + counterText("buckthornford_retries_total", m_entry.retryCount());
 }
 
 } // namespace buckthornford
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -289,7 +289,11 @@
     DoorAnswer answer;
     answer.id = request.id;
     answer.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
-    answer.body = proxy->metricsText();
+    answer.body = proxy->metricsText()
+                  + counterText("buckthornford_peer_bytes_total", mesh->sentBytes())
+                  + counterText("buckthornford_upstream_connections_total", upstream->openedCount())
+                  + counterText("buckthornford_store_calls_total", store ? store->callCount() : 0)
+                  + counterText("buckthornford_log_lines_left_out_total", log.leftOut());
     return answer;
 }
 
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -77,6 +77,11 @@
     m_sum += other.m_sum;
 }
 
+std::string counterText(const std::string &name, std::uint64_t value)
+{
+    return name + ' ' + std::to_string(value) + '\n';
+}
+
 void RequestMetrics::record(const ClassName &className, Outcome outcome, Error reason,
                             Duration latency)
 {
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -38,6 +38,9 @@
     Duration m_sum{0};
 };
 
+/// Returns one counter in the text exposition format (Prometheus 0.0.4).
+std::string counterText(const std::string &name, std::uint64_t value);
+
 /// Counters and histograms of one task, by class of request.
 class RequestMetrics
 {
