Let a call take the rank and deadline of the chain that it belongs to

That a failure of an upstream echoes its own call's failure was guessed from 25 ms of time.

Change: upstreams name their calls by the id of the request that they run. The gate knows what runs, so the entry beside it matches the call to the execution: it takes the rank of the chain's first request, its deadline and age, and its failure is final for that execution. Without such ids a call is a request of its own, as before. Ruled out: matching by the deadline that upstreams pass on (two runs can share one, and shorter deadlines of routes hide it).

Also: buckthornford-ctl explain prints a request and its calls as a tree from collected logs; rows of nodes that are gone for good are removed by one node, and each node puts its own again every 30 minutes; watches last 2 to 25 s, one second for each node.

--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -1,5 +1,6 @@
 #include "ctl/commands.h"
 
+#include "ctl/explain.h"
 #include "ctl/print.h"
 #include "ctl/top.h"
 #include "ctl/trace.h"
@@ -229,6 +230,26 @@
     return exitOk;
 }
 
+/// Reads a file of collected logs; "-" is the standard input.
+int explain(const CommandContext &context)
+{
+    const std::string &id = context.arguments[0];
+    const std::string &path = context.arguments[1];
+    std::ifstream file;
+    if (path != "-") {
+        file.open(path);
+        if (!file) {
+            std::cerr << "cannot read " << path << '\n';
+            return exitRefused;
+        }
+    }
+    std::istream &log = path == "-" ? std::cin : file;
+    if (printRequest(std::cout, requestLines(log, id)) > 0)
+        return exitOk;
+    std::cerr << "no line tells of request " << id << '\n';
+    return exitRefused;
+}
+
 constexpr std::array commandTable{
         Command{"status", "", "state of one node", 0, status},
         Command{"instances", "", "all nodes that this node knows", 0, instances},
@@ -246,6 +267,8 @@
         Command{"undrain", "", "take work again", 0, undrain},
         Command{"poison list", "", "contents that ran during crashes of upstreams", 0, poisonList},
         Command{"poison release", "CONTENT", "let a refused content run again", 1, poisonRelease},
+        Command{"explain", "REQUEST FILE",
+                "one request and its calls as a tree, from collected logs", 2, explain},
         Command{"trace", "TRACE", "one request as a tree, from the spans that nodes keep", 1,
                 trace},
         Command{"top", "", "live view of the fleet; one view if not on a terminal", 0, top},
--- /dev/null
+++ b/programs/ctl/explain.cpp
@@ -0,0 +1,93 @@
+#include "ctl/explain.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <optional>
+
+namespace buckthornford {
+
+namespace {
+
+constexpr char idSeparator = '.';
+
+bool belongsTo(const std::string &request, const std::string &id)
+{
+    return request == id || request.starts_with(id + idSeparator);
+}
+
+std::string textOf(const nlohmann::json &value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+RequestLine lineOf(const nlohmann::json &entry, std::string origin)
+{
+    RequestLine line;
+    line.origin = std::move(origin);
+    for (const auto &[name, value] : entry.items()) {
+        if (name == "event")
+            line.event = textOf(value);
+        else if (name == "time_ms" && value.is_number())
+            line.timeMs = value.get<double>();
+        else if (name != "request")
+            line.fields += ' ' + name + '=' + textOf(value);
+    }
+    return line;
+}
+
+/// Returns the JSON object that \a text ends with, if it tells of a request.
+std::optional<nlohmann::json> entryIn(const std::string &text)
+{
+    const std::size_t brace = text.find('{');
+    if (brace == std::string::npos)
+        return std::nullopt;
+    nlohmann::json entry = nlohmann::json::parse(text.begin() + static_cast<std::ptrdiff_t>(brace),
+                                                 text.end(), nullptr, false);
+    if (!entry.is_object() || !entry.contains("request") || !entry["request"].is_string())
+        return std::nullopt;
+    return entry;
+}
+
+std::size_t depthOf(const std::string &request)
+{
+    return static_cast<std::size_t>(std::count(request.begin(), request.end(), idSeparator));
+}
+
+} // namespace
+
+RequestLines requestLines(std::istream &log, const std::string &id)
+{
+    RequestLines lines;
+    std::string text;
+    while (std::getline(log, text)) {
+        const std::optional<nlohmann::json> entry = entryIn(text);
+        if (!entry)
+            continue;
+        const std::string request = (*entry)["request"].get<std::string>();
+        if (belongsTo(request, id))
+            lines[request].push_back(lineOf(*entry, text.substr(0, text.find('{'))));
+    }
+    for (auto &[request, found] : lines) {
+        std::stable_sort(found.begin(), found.end(),
+                         [](const auto &a, const auto &b) { return a.timeMs < b.timeMs; });
+    }
+    return lines;
+}
+
+std::size_t printRequest(std::ostream &out, const RequestLines &lines)
+{
+    std::size_t count = 0;
+    const std::size_t top = lines.empty() ? 0 : depthOf(lines.begin()->first);
+    for (const auto &[request, found] : lines) {
+        const std::string indent(2 * (depthOf(request) - top), ' ');
+        out << indent << request << '\n';
+        for (const RequestLine &line : found) {
+            out << indent << "  " << line.origin << line.event << line.fields << '\n';
+            ++count;
+        }
+    }
+    return count;
+}
+
+} // namespace buckthornford
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -51,6 +51,7 @@
     Revision revision;
     TraceContext trace;
     std::optional<PeerRef> alternate; ///< where the key may move if it is refused here
+    std::optional<Rank> chainRank;    ///< of the request that began the chain, for calls in it
 };
 
 /// Names one attempt of one entry node.
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -95,11 +95,13 @@
     run.timeLeft = call->deadline - now - answerMargin;
     run.age = now - call->entered;
     const bool keepsLast = hasCallersKey && call->budget.tokens() == Tokens{1};
-    const bool lends = m_settings.policy.lendsBudget && !keepsLast;
+    const bool lends = m_settings.policy.passesContext && !keepsLast;
     run.budget = lends ? call->budget.lend() : Tokens{0};
     run.depth = call->depth;
     run.revision = call->revision;
     run.trace = call->trace;
+    if (call->parent)
+        run.chainRank = call->rank;
     run.alternate = alternateFor(*call, peer, now);
     call->open.push_back(Attempt{run.attempt, peer, now, run.budget});
     call->tried.push_back(peer.instance);
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -75,6 +75,23 @@
     return std::nullopt;
 }
 
+std::optional<Error> Entry::joinChain(Call *call, ExecutionId parent)
+{
+    const auto found = m_chains.find(parent);
+    if (found == m_chains.end())
+        return Error::ExecutionEnded;
+    Chain &chain = found->second;
+    call->parent = parent;
+    call->depth = Depth{chain.run.depth.value() + 1};
+    if (call->depth > m_settings.maxDepth)
+        return Error::DepthExceeded;
+    call->deadline = std::min(call->deadline, chain.deadline);
+    call->entered -= chain.run.age;
+    call->rank = chain.rank;
+    chain.calls.push_back(call->id);
+    return std::nullopt;
+}
+
 std::optional<Error> Entry::fillFromPreset(Call *call, const CallRequest &request,
                                            const Configuration &configuration, TimePoint now)
 {
@@ -110,9 +127,11 @@
     call.entered = now;
     call.deadline = now;
     call.enteredWall = wall;
-    call.parent = request.parent;
+    const bool hasContext = m_settings.policy.passesContext && request.parent;
+    if (hasContext)
+        call.parent = request.parent;
     const Configuration *configuration = history.inForce(wall);
-    if (request.parent && m_chains.contains(*request.parent))
+    if (hasContext && m_chains.contains(*request.parent))
         configuration = history.at(m_chains.at(*request.parent).run.revision, wall);
     if (configuration == nullptr) {
         finishRefused(&call, Error::NoTarget, Outcome::NotRun, &actions, now, wall);
@@ -121,8 +140,10 @@
     const Preset &preset = configuration->document.presetInForce();
     call.spillShare = preset.spillShare;
     call.hedgeShare = preset.hedgeShare;
-    auto error = request.parent ? fillFromParent(&call, request, *configuration)
-                                : fillFromPreset(&call, request, *configuration, now);
+    auto error = hasContext ? fillFromParent(&call, request, *configuration)
+                            : fillFromPreset(&call, request, *configuration, now);
+    if (!error && !hasContext && request.parent)
+        error = joinChain(&call, *request.parent);
     if (!error && !m_router->knowsService(call.work.service))
         error = Error::UnknownService;
     if (!error && isPoisonous(call.work))
@@ -254,12 +275,13 @@
     m_calls.erase(call->id);
 }
 
-void Entry::beginExecution(ExecutionId id, const Run &run, TimePoint deadline)
+void Entry::beginExecution(ExecutionId id, const Run &run, Rank rank, TimePoint deadline)
 {
     Chain chain;
     chain.run = run;
     chain.run.work.body.clear();
     chain.deadline = deadline;
+    chain.rank = rank;
     chain.budget = ChainBudget(run.budget);
     m_chains.insert_or_assign(id, std::move(chain));
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -74,9 +74,10 @@
     /// refusal costs no retry.
     std::uint32_t freePlacements = 0;
     bool ratioPerService = false; ///< in place of one for each caller
-    /// Whether retries are lent to the part of the chain below. Not where upstreams make their
-    /// calls without the context of the request: nothing would come back.
-    bool lendsBudget = true;
+    /// Whether upstreams pass the context of a request on to their calls, so that these share its
+    /// class, caller, revision and retries. Else a call is a request of its own, and takes only
+    /// rank and deadline of the execution that makes it, if that is known.
+    bool passesContext = true;
     /// What a repeat costs of the ratio if the work may have run before: it makes its calls to
     /// other services again. One that was turned away costs 1.
     double rerunCost = 1.0;
@@ -137,8 +138,8 @@
     EntryActions tick(TimePoint now, WallTime wall);
     TimePoint nextWake(TimePoint otherwise) const;
 
-    /// An execution at this node's upstream starts; its calls draw on what it was lent.
-    void beginExecution(ExecutionId id, const Run &run, TimePoint deadline);
+    /// An execution of \a rank at this node's upstream starts; its calls draw on what it was lent.
+    void beginExecution(ExecutionId id, const Run &run, Rank rank, TimePoint deadline);
 
     /// Cancels the calls that the execution has open.
     void cancelCallsOf(ExecutionId id, TimePoint now, WallTime wall, EntryActions *actions);
@@ -198,6 +199,7 @@
     {
         Run run;
         TimePoint deadline;
+        Rank rank;
         ChainBudget budget;
         bool failedForGood = false;
         std::vector<RequestId> calls;
@@ -210,6 +212,7 @@
 
     std::optional<Error> fillFromParent(Call *call, const CallRequest &request,
                                         const Configuration &configuration);
+    std::optional<Error> joinChain(Call *call, ExecutionId parent);
     std::optional<Error> fillFromPreset(Call *call, const CallRequest &request,
                                         const Configuration &configuration, TimePoint now);
     void startTimers(const Call &call, TimePoint now);
--- a/src/entry/tests/fake_chain.h
+++ b/src/entry/tests/fake_chain.h
@@ -101,7 +101,7 @@
         ++m_runs[static_cast<std::size_t>(level)];
         const ExecutionId id{++m_lastExecution};
         Entry &below = *m_entries[static_cast<std::size_t>(level) + 1];
-        below.beginExecution(id, run, m_now + std::chrono::seconds(1));
+        below.beginExecution(id, run, Rank{0}, m_now + std::chrono::seconds(1));
         bool succeeds = level != m_failLevel || m_failures == 0;
         if (!succeeds && m_failures > 0)
             --m_failures;
--- a/src/entry/tests/test_placement.cpp
+++ b/src/entry/tests/test_placement.cpp
@@ -25,7 +25,7 @@
         policy.hedges = false;
         policy.freePlacements = placements;
         policy.ratioPerService = true;
-        policy.lendsBudget = false;
+        policy.passesContext = false;
         policy.returnWithin = std::chrono::milliseconds(400);
         EntrySettings settings;
         settings.place = {InstanceId{"e"}, ZoneName{"z"}, RegionName{"r"}};
@@ -50,9 +50,10 @@
         history.accept(configuration);
     }
 
-    EntryActions begin(bool idempotent)
+    EntryActions begin(bool idempotent, std::optional<ExecutionId> parent = std::nullopt)
     {
         CallRequest request;
+        request.parent = parent;
         request.work.service = service;
         request.work.operation = OperationName{"op"};
         request.work.className = ClassName{"class"};
@@ -205,3 +206,37 @@
     BOOST_TEST(sent(actions) == nullptr);
     BOOST_TEST((finished(actions)->answer.outcome == Outcome::Unknown));
 }
+
+/// A call belongs to the execution that makes it, whatever the rank of its own route.
+BOOST_FIXTURE_TEST_CASE(aCallTakesTheRankAndTheDeadlineOfItsChain, Fixture)
+{
+    const ExecutionId parent{77};
+    entry->beginExecution(parent, Run{}, Rank{3}, start + std::chrono::milliseconds(200));
+    const EntryActions actions = begin(true, parent);
+    const SendRun *run = sent(actions);
+    BOOST_REQUIRE(run != nullptr);
+    BOOST_REQUIRE(run->run.chainRank.has_value());
+    BOOST_TEST(run->run.chainRank->value() == 3U);
+    BOOST_TEST((run->run.timeLeft <= std::chrono::milliseconds(200)));
+    // Its retries are its own: nothing is lent where the context isn't passed on.
+    BOOST_TEST((sent(answer(SendRun(*run), Outcome::NotRun, true)) != nullptr));
+}
+
+/// What was done about a call's failure next to it isn't done again above it.
+BOOST_FIXTURE_TEST_CASE(theFailureOfACallIsFinalForItsExecution, Fixture)
+{
+    const ExecutionId parent{77};
+    entry->beginExecution(parent, Run{}, Rank{0}, start + std::chrono::milliseconds(200));
+    EntryActions actions = begin(false, parent);
+    const SendRun run = *sent(actions);
+    actions = answer(run, Outcome::Unknown, true);
+    BOOST_REQUIRE(finished(actions) != nullptr);
+    EntryActions left;
+    BOOST_TEST(entry->endExecution(parent, start, noWall, &left).failedForGood);
+}
+
+BOOST_FIXTURE_TEST_CASE(aRequestOutsideAnyExecutionHasNoChain, Fixture)
+{
+    const EntryActions actions = begin(true);
+    BOOST_TEST(!sent(actions)->run.chainRank.has_value());
+}
--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -141,8 +141,8 @@
     }
     const ClassRule *rule = preset.findClass(run.work.className);
     const ExecutionId id{m_nextExecution++};
-    Execution execution{run, from, rule == nullptr ? preset.lowestClass().rank : rule->rank,
-                        now, {},   now + run.timeLeft};
+    const Rank ownRank = rule == nullptr ? preset.lowestClass().rank : rule->rank;
+    Execution execution{run, from, run.chainRank.value_or(ownRank), now, {}, now + run.timeLeft};
     execution.isLong = m_settings.policy.reservesShort && m_costs.isLong(run.work.operation);
     execution.shortShare = preset.shortShare;
     execution.patience = TimePoint::max();
@@ -204,7 +204,8 @@
         ++m_inFlight;
         m_reserve.noteStart(execution.isLong);
         m_limiter->onStart(m_inFlight, now);
-        actions->emplace_back(StartExecution{claim->execution, execution.run, execution.deadline});
+        actions->emplace_back(StartExecution{claim->execution, execution.run, execution.rank,
+                                             execution.deadline});
     }
 }
 
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -78,6 +78,7 @@
 {
     ExecutionId execution;
     Run run;
+    Rank rank;
     TimePoint deadline;
 };
 
--- a/src/gate/tests/test_gate.cpp
+++ b/src/gate/tests/test_gate.cpp
@@ -149,6 +149,24 @@
     BOOST_TEST((refused[0].to != replyTo(4)));
 }
 
+/// The load of a crest: calls of an important chain and of a lesser one on one route.
+BOOST_AUTO_TEST_CASE(theRankOfTheChainGoesBeforeTheRoutes)
+{
+    Gate gate = makeGate(fixedPolicy, 2);
+    gate.announce(Slots{1}, true, at(0));
+    Run lesser = makeRun(1, "high");
+    lesser.chainRank = Rank{5};
+    for (std::uint64_t request = 1; request <= 3; ++request) {
+        lesser.request = RequestId{request};
+        gate.run(lesser, replyTo(request), preset(), at(1), wall);
+    }
+    Run important = makeRun(4, "low");
+    important.chainRank = Rank{0};
+    const auto refused = only<Reply>(gate.run(important, replyTo(4), preset(), at(1), wall));
+    BOOST_REQUIRE(refused.size() == 1);
+    BOOST_TEST((refused[0].to != replyTo(4)));
+}
+
 BOOST_AUTO_TEST_CASE(hopelessWorkNeverTakesASlot)
 {
     Gate gate = makeGate(fixedPolicy);
--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -70,6 +70,8 @@
     trace->set_sampled(run.trace.sampled);
     out->set_target(work.target);
     encodeHeaders(work.headers, out);
+    if (run.chainRank)
+        out->set_chain_rank(run.chainRank->value());
     if (run.alternate)
         encodePeer(*run.alternate, out->mutable_alternate());
 }
@@ -100,6 +102,8 @@
     run.revision = Revision{in->revision()};
     const wire::Trace &trace = in->trace();
     run.trace = {trace.trace_high(), trace.trace_low(), trace.span(), trace.sampled()};
+    if (in->has_chain_rank())
+        run.chainRank = Rank{in->chain_rank()};
     if (in->has_alternate())
         run.alternate = decodePeer(in->alternate());
     return run;
--- a/src/link/tests/test_link.cpp
+++ b/src/link/tests/test_link.cpp
@@ -30,6 +30,7 @@
     run.revision = Revision{9};
     run.trace = {1, 2, 3, true};
     run.alternate = PeerRef{InstanceId{"x"}, Incarnation{8}, "1.2.3.4:5"};
+    run.chainRank = Rank{6};
     return run;
 }
 
@@ -57,6 +58,7 @@
     const Run &run = std::get<Run>(frames.value()[0]);
     BOOST_TEST(run.work.body == fullRun().work.body);
     BOOST_TEST((run.alternate == fullRun().alternate));
+    BOOST_TEST((run.chainRank == fullRun().chainRank));
 }
 
 BOOST_AUTO_TEST_CASE(damagedBytesNeverPassAsAnotherBody)
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -327,8 +327,33 @@
         merge(member, now);
         news->push_back(member);
     }
-    m_changes += std::erase_if(m_others, [&](const auto &other) {
-        return !other.second.member.isLive() && now - other.second.since >= m_settings.tombstone;
+    forgetTheLongDead(now);
+}
+
+void Membership::forgetTheLongDead(TimePoint now)
+{
+    for (auto it = m_others.begin(); it != m_others.end();) {
+        const Known &known = it->second;
+        if (known.member.isLive() || now - known.since < m_settings.tombstone) {
+            ++it;
+            continue;
+        }
+        if (isNextTo(it->first))
+            m_forgotten.push_back(it->first);
+        it = m_others.erase(it);
+        ++m_changes;
+    }
+}
+
+/// Whether no other live node follows \a instance more closely on the ring.
+bool Membership::isNextTo(const InstanceId &instance) const
+{
+    const auto distance = [from = ringPosition(instance)](const InstanceId &to) {
+        return ringPosition(to) - from; // Wraps around.
+    };
+    const std::uint64_t own = distance(m_self.peer.instance);
+    return std::none_of(m_others.begin(), m_others.end(), [&](const auto &other) {
+        return other.second.member.isLive() && distance(other.first) < own;
     });
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -12,6 +12,7 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace buckthornford {
@@ -119,6 +120,10 @@
     /// The peers to keep a stream to: ring successors at distances 1, 2, 4 and so on.
     std::vector<PeerRef> neighbours() const;
 
+    /// Hands over the nodes that have been gone for Settings::tombstone and what is stored of which
+    /// this node has to remove; of all live nodes one gets each.
+    std::vector<InstanceId> takeForgotten() { return std::exchange(m_forgotten, {}); }
+
     /// Whether this node is one of the few in its availability zone that read the platform.
     bool isReader() const;
 
@@ -161,6 +166,8 @@
     void ageOut(TimePoint now, std::vector<Member> *news);
     void reachOut(Sendings *sendings);
     void compare(Sendings *sendings);
+    bool isNextTo(const InstanceId &instance) const;
+    void forgetTheLongDead(TimePoint now);
     void noteRevision(const PeerRef &from, Revision revision, TimePoint now);
     void tellRevision(Sendings *sendings);
     void askForConfiguration(Sendings *sendings, TimePoint now);
@@ -176,6 +183,7 @@
     Revision m_toldRevision; ///< to the neighbours
     std::string m_configuration;
     std::optional<Ahead> m_ahead;
+    std::vector<InstanceId> m_forgotten;
     TimePoint m_nextExchange;
     TimePoint m_nextRejoin;
 };
--- a/src/membership/tests/test_membership.cpp
+++ b/src/membership/tests/test_membership.cpp
@@ -32,6 +32,8 @@
 class Group
 {
 public:
+    static constexpr Duration tombstone = std::chrono::seconds(20);
+
     explicit Group(int count)
     {
         for (int i = 0; i < count; ++i)
@@ -42,6 +44,7 @@
     {
         Membership::Settings settings;
         settings.seed = static_cast<std::uint64_t>(number) + 1;
+        settings.tombstone = tombstone;
         const Member self = makeMember(number, incarnation);
         nodes[self.peer.instance] = std::make_unique<Membership>(
                 self, std::vector<std::string>{makeMember(0).peer.address}, settings);
@@ -155,6 +158,26 @@
     }
 }
 
+/// What was stored of a node that is gone for good is removed, and by one node only.
+BOOST_AUTO_TEST_CASE(oneNodeSeesToWhatIsLeftOfTheDead)
+{
+    Group group(10);
+    group.tick(0, 6000);
+    const InstanceId gone = makeMember(3).peer.instance;
+    group.nodes.erase(gone);
+    group.deliver(group.node(1).self().peer, group.node(1).suspect(gone, at(6000)), at(6000));
+    group.tick(6000, 9000);
+    for (auto &[instance, node] : group.nodes)
+        BOOST_TEST(node->takeForgotten().empty());
+    group.tick(9000, 40000);
+    std::size_t removals = 0;
+    for (auto &[instance, node] : group.nodes) {
+        for (const InstanceId &forgotten : node->takeForgotten())
+            removals += forgotten == gone ? 1 : 0;
+    }
+    BOOST_TEST(removals == 1U);
+}
+
 /// The clock that numbers starts may have stepped back.
 BOOST_AUTO_TEST_CASE(aStartWithALowerNumberIsBelievedAllTheSame)
 {
--- a/src/node/node_task.cpp
+++ b/src/node/node_task.cpp
@@ -318,7 +318,7 @@
 {
     const std::uint64_t parentSpan = action.run.trace.span;
     action.run.trace = action.run.trace.child();
-    m_entry.beginExecution(action.execution, action.run, action.deadline);
+    m_entry.beginExecution(action.execution, action.run, action.rank, action.deadline);
     m_running.insert_or_assign(action.execution, Running{action.run, parentSpan, steadyWallNow()});
     (void)now;
     m_pool.start({m_upstream->announcement.address, checksum(m_upstream->announcement.startId),
--- a/src/proxy/adapter.h
+++ b/src/proxy/adapter.h
@@ -19,8 +19,9 @@
 struct IncomingCall
 {
     std::string host;
-    std::string path; ///< target without the query
-    std::string id;   ///< as the caller names its request
+    std::string path;   ///< target without the query
+    std::string id;     ///< as the caller names its request
+    std::string parent; ///< id of the request for which the upstream makes this call; may be empty
     CallRequest request;
 };
 
@@ -34,6 +35,9 @@
     virtual std::optional<DoorAnswer> read(DoorRequest request, IncomingCall *call) const = 0;
 
     virtual DoorAnswer answer(RequestId id, Answer answer) const = 0;
+
+    /// How the caller named the request with these \a headers; empty if it didn't.
+    virtual std::string_view nameOf(const HttpHeaders &headers) const = 0;
 };
 
 /// What an upstream instance says of itself.
--- a/src/proxy/gossip_task.cpp
+++ b/src/proxy/gossip_task.cpp
@@ -33,6 +33,8 @@
 TimePoint GossipTask::tick(TimePoint now)
 {
     send(m_membership.tick(now));
+    for (const InstanceId &instance : m_membership.takeForgotten())
+        m_outputs.forgotten(instance);
     return std::min(now + tickInterval, m_membership.configurationDue().value_or(TimePoint::max()));
 }
 
--- a/src/proxy/gossip_task.h
+++ b/src/proxy/gossip_task.h
@@ -49,6 +49,7 @@
     std::function<void(MembersChanged)> members;
     std::function<void(std::string)> configuration; ///< text of a newer one that a peer has
     std::function<void(StrikesTaken)> strikes;
+    std::function<void(InstanceId)> forgotten; ///< what is stored of this node is to be removed
 };
 
 class GossipTask : public LoopTask<GossipMessage>
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -11,10 +11,6 @@
 constexpr std::uint64_t localChannel = 0;
 /// Grain of deadlines and of what is done at intervals.
 constexpr Duration tickInterval = std::chrono::milliseconds(20);
-/// An upstream whose own call has failed answers with an error within this time. That call was
-/// repeated as far as it may be, next to the failure, so the work above it isn't.
-constexpr Duration failureEcho = std::chrono::milliseconds(25);
-constexpr int firstServerError = 500;
 /// A node that has just started reads the configuration within this time.
 constexpr Duration configurationWait = std::chrono::milliseconds(150);
 constexpr Duration idleTickInterval = std::chrono::milliseconds(200);
@@ -104,6 +100,8 @@
     work.idempotent = route->isIdempotent;
     work.caller = CallerName{m_settings.callerService.value()};
     m_callerIds.emplace(id, call.id);
+    if (const auto parent = m_runningNames.find(call.parent); parent != m_runningNames.end())
+        call.request.parent = parent->second;
     const Duration timeout = route->timeout;
     call.request.timeout = std::min(call.request.timeout.value_or(timeout), timeout);
     carryOut(m_entry.begin(id, std::move(call.request), m_history, now, noWallTime), now);
@@ -204,12 +202,14 @@
         const bool isAnswered = result.end == UpstreamResult::End::Answered;
         m_gateMetrics.record(work.className, isAnswered ? Outcome::Completed : Outcome::Unknown,
                              Error::None, result.latency);
+        const auto name = m_runningNames.find(std::string(m_adapter.callers->nameOf(work.headers)));
+        if (name != m_runningNames.end() && name->second == result.execution)
+            m_runningNames.erase(name);
         m_running.erase(running);
     }
-    ChainResult chain;
-    chain.failedForGood = m_lastUnserved && now - *m_lastUnserved < failureEcho
-                          && result.end == UpstreamResult::End::Answered
-                          && result.status >= firstServerError;
+    EntryActions cancelled;
+    const ChainResult chain = m_entry.endExecution(result.execution, now, noWallTime, &cancelled);
+    carryOut(std::move(cancelled), now);
     const bool isAbsent = result.end == UpstreamResult::End::NotSent || result.hasCrashed;
     carryOut(m_gate.finish(std::move(result), chain, now), now);
     if (isAbsent && m_gate.hasUpstream()) {
@@ -394,8 +394,6 @@
 {
     const Span &span = action.result.span;
     logEnd(action, now);
-    if (action.result.answer.outcome != Outcome::Completed)
-        m_lastUnserved = now;
     m_callerIds.erase(action.request);
     m_entryMetrics.record(span.className, span.outcome, span.reason, action.result.duration);
     m_outputs.answer(m_adapter.callers->answer(action.request, std::move(action.result.answer)));
@@ -410,6 +408,9 @@
 
 void ProxyTask::carryOut(StartExecution &&action, TimePoint)
 {
+    m_entry.beginExecution(action.execution, action.run, action.rank, action.deadline);
+    m_runningNames.insert_or_assign(std::string(m_adapter.callers->nameOf(action.run.work.headers)),
+                                    action.execution);
     m_running.insert_or_assign(action.execution, action.run.work);
     m_outputs.upstream(StartJob{action.execution, std::move(action.run), action.deadline});
 }
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -203,12 +203,12 @@
     Gate m_gate;
     ConfigurationHistory m_history;
     ServiceChooser m_chooser;
-    std::optional<UpstreamNews> m_upstream;  ///< the newest report of the present instance
-    std::optional<TimePoint> m_leaveTime;    ///< since when the upstream leaves
-    std::optional<TimePoint> m_stopTime;     ///< since when the process stops
-    std::optional<TimePoint> m_lastUnserved; ///< when a call from beside this node failed last
+    std::optional<UpstreamNews> m_upstream; ///< the newest report of the present instance
+    std::optional<TimePoint> m_leaveTime;   ///< since when the upstream leaves
+    std::optional<TimePoint> m_stopTime;    ///< since when the process stops
     std::optional<NodeCondition> m_told;
     std::unordered_map<ExecutionId, Work> m_running;
+    std::unordered_map<std::string, ExecutionId> m_runningNames; ///< as callers name the requests
     std::vector<UpstreamResult> m_lost; ///< wait for the probe that tells crash from mishap
     std::unordered_map<RequestId, std::string> m_callerIds; ///< as callers name their requests
     RequestMetrics m_entryMetrics;
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -166,6 +166,10 @@
     };
     outputs.configuration = [this](const std::string &text) { takeConfiguration(text); };
     outputs.strikes = [this](StrikesTaken strikes) { proxy->post(std::move(strikes)); };
+    outputs.forgotten = [this](const InstanceId &instance) {
+        if (store)
+            store->post(RemoveNode{instance.value()});
+    };
     return outputs;
 }
 
@@ -204,7 +208,7 @@
     proxySettings.entry.usesKeys = false;
     proxySettings.entry.freePlacements = 4;
     proxySettings.entry.ratioPerService = true;
-    proxySettings.entry.lendsBudget = false;
+    proxySettings.entry.passesContext = false;
     proxySettings.entry.rerunCost = rerunCost;
     proxySettings.entry.hedgeAfterShare = 0.4;
     proxySettings.entry.returnWithin = std::chrono::milliseconds(400);
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -11,14 +11,17 @@
 constexpr Duration shortestWatch = std::chrono::seconds(2);
 constexpr Duration longestWatch = std::chrono::seconds(25);
 /// Of the watches' length for each node in the fleet: a watch that the store has lost in an outage
-/// is found out when it ends, so some node's should end every half second.
-constexpr Duration watchSpacing = std::chrono::milliseconds(600);
+/// is found out when it ends, so some node's should end every second.
+constexpr Duration watchSpacing = std::chrono::seconds(1);
 constexpr Duration firstPause = std::chrono::milliseconds(200);
 constexpr Duration longestPause = std::chrono::seconds(2);
 constexpr Duration listingInterval = std::chrono::seconds(1); ///< while no other node is known
 /// Nodes that start together have put their rows by then.
 constexpr Duration firstListingDelay = std::chrono::milliseconds(600);
 constexpr Duration idleInterval = std::chrono::seconds(1);
+/// A row that others removed, since they took its node for dead, is back after this time; half of
+/// the time after which the dead are forgotten.
+constexpr Duration rowInterval = std::chrono::minutes(30);
 
 } // namespace
 
@@ -84,6 +87,13 @@
     wakeBy(now);
 }
 
+void StoreTask::on(RemoveNode &&message, TimePoint now)
+{
+    m_goneKeys.push_back(std::move(message.key));
+    m_repeated[Removal].isWanted = true;
+    wakeBy(now);
+}
+
 void StoreTask::on(PeersKnown &&message, TimePoint now)
 {
     const bool wasAlone = std::exchange(m_peerCount, message.count) == 0;
@@ -103,6 +113,8 @@
     case Node:
         return m_isLeaving ? m_dialect->removeNode(m_self->key)
                            : m_dialect->putNode(m_self->key, m_self->value);
+    case Removal:
+        return m_dialect->removeNode(m_goneKeys.front());
     case Listing:
     case CallKindCount:
         break;
@@ -181,7 +193,12 @@
         takeConfiguration(answer);
         break;
     case Node:
-        call.isWanted = false;
+        call.isWanted = !m_isLeaving;
+        call.due = now + rowInterval;
+        break;
+    case Removal:
+        m_goneKeys.pop_front();
+        call.isWanted = !m_goneKeys.empty();
         break;
     case Listing:
         m_outputs.nodes(answer.rows);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -6,6 +6,7 @@
 #include "http1/http1.h"
 #include "proxy/adapter.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <random>
@@ -24,13 +25,19 @@
 struct RemoveSelf
 {};
 
+/// A node is gone for good: what it stored is removed.
+struct RemoveNode
+{
+    std::string key;
+};
+
 /// How many other nodes are known; a node that knows none keeps asking the store.
 struct PeersKnown
 {
     std::size_t count = 0;
 };
 
-using StoreMessage = std::variant<PutSelf, RemoveSelf, PeersKnown>;
+using StoreMessage = std::variant<PutSelf, RemoveSelf, RemoveNode, PeersKnown>;
 
 /// Whom the task tells of what it reads.
 struct StoreOutputs
@@ -66,10 +73,11 @@
         std::shared_ptr<ClientConnection> connection;
         std::uint64_t number = 0; ///< of the call in progress
     };
-    enum CallKind : std::size_t { Configuration, Node, Listing, CallKindCount };
+    enum CallKind : std::size_t { Configuration, Node, Listing, Removal, CallKindCount };
 
     void on(PutSelf &&message, TimePoint now);
     void on(RemoveSelf &&message, TimePoint now);
+    void on(RemoveNode &&message, TimePoint now);
     void on(PeersKnown &&message, TimePoint now);
 
     void begin(CallKind kind, TimePoint now);
@@ -88,6 +96,7 @@
     std::uint64_t m_version = 0; ///< of the store, up to which the configuration is known
     bool m_isWatching = false;   ///< the configuration was read, its changes are awaited
     std::optional<PutSelf> m_self;
+    std::deque<std::string> m_goneKeys; ///< of rows that are to be removed
     bool m_isLeaving = false;
     std::size_t m_peerCount = 0;
     Duration m_watchSpan{0}; ///< for which the store may hold back the answer to this watch
--- a/tests/integration/test_ctl.py
+++ b/tests/integration/test_ctl.py
@@ -71,6 +71,23 @@
         self.assertEqual(top.returncode, 0)
         self.assertIn("affirmer", top.stdout)
 
+    def test_explain(self):
+        lines = [
+            'node-b {"time_ms":7,"event":"attempt-failed","request":"r1.c1","target":"t","status":503}',
+            'node-a {"time_ms":9,"event":"request-ended","request":"r1","outcome":"failed"}',
+            'node-a {"time_ms":5,"event":"request-ended","request":"r12","outcome":"completed"}',
+            '{"time_ms":8,"event":"started"}',
+            "cut off {",
+        ]
+        with tempfile.NamedTemporaryFile("w", suffix=".log") as file:
+            file.write("\n".join(lines))
+            file.flush()
+            told = self.ctl("explain", "r1", file.name).stdout.splitlines()
+            self.assertEqual(self.ctl("explain", "r9", file.name).returncode, 1)
+        self.assertEqual(told, ["r1", "  node-a request-ended outcome=failed", "  r1.c1",
+                                "    node-b attempt-failed status=503 target=t"])
+        self.assertEqual(self.ctl("explain", "r1", "/nowhere").returncode, 1)
+
     def test_drain_and_back(self):
         self.assertEqual(self.ctl("drain", slot=3).returncode, 0)
         fleet.wait_until(lambda: self.ctl_json("status", slot=3)["state"] == "leaving", 5, "leaving")
