Count repeats exactly over the chain instead of pricing them by guess

Cause: entries spent 0.45 of the bound on repeats and paid 2.5 for a rerun, to leave room for calls that a repeated run makes again.

Change: a run says whether its request may have reached an upstream before, or belongs to such a run. Calls of such a run are charged as repeats where they are sent, also into debt; a rerun costs one like any other. Entries spend 0.6 of the bound.

Ruled out: 0.8 of the bound.

Tests: chargesComeOffTheRetries, whatMayHaveReachedAnUpstreamBeforeIsMarkedAsARepeat, repeatsOfCallsAndCallsOfRepeatsShareOneBound (they use the new interface).

--- a/src/call/call.h
+++ b/src/call/call.h
@@ -52,6 +52,8 @@
     TraceContext trace;
     std::optional<PeerRef> alternate; ///< where the key may move if it is refused here
     std::optional<Rank> chainRank;    ///< of the request that began the chain, for calls in it
+    /// An upstream may have got this request before, or it belongs to a run of which this is true.
+    bool isRepeat = false;
 };
 
 /// Names one attempt of one entry node.
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -102,6 +102,7 @@
     run.trace = call->trace;
     if (call->parent)
         run.chainRank = call->rank;
+    run.isRepeat = call->isRepeat || !call->open.empty();
     run.alternate = alternateFor(*call, peer, now);
     call->open.push_back(Attempt{run.attempt, peer, now, run.budget});
     call->tried.push_back(peer.instance);
@@ -139,6 +140,7 @@
                        EntryActions *actions, TimePoint now, WallTime wall)
 {
     call->mayHaveRun = call->mayHaveRun || answer.outcome == Outcome::Unknown;
+    call->isRepeat = call->isRepeat || answer.wasOffered || answer.outcome != Outcome::NotRun;
     m_router->onEnd(
             attempt.peer.instance,
             {call->work.operation, attempt.sent, now - attempt.sent,
@@ -170,8 +172,7 @@
         return false;
     // A moved key has to be followed, or "not run" would not be certain.
     const bool isFree = choice == RetryChoice::FollowKey;
-    const double cost = answer.outcome == Outcome::NotRun ? 1.0 : m_settings.policy.rerunCost;
-    if (call->budget.tokens() == Tokens{0} || (!isFree && !m_ratio.spend(ratioScope(*call), cost)))
+    if (call->budget.tokens() == Tokens{0} || (!isFree && !m_ratio.spend(ratioScope(*call))))
         return false;
     return call->budget.spend();
 }
@@ -292,8 +293,7 @@
     if (!mayHedge)
         return;
     const Result<Pick> pick = m_router->pick(pickRequest(*call), now);
-    if (!pick || !m_ratio.spend(ratioScope(*call), m_settings.policy.rerunCost)
-        || !call->budget.spend())
+    if (!pick || !m_ratio.spend(ratioScope(*call)) || !call->budget.spend())
         return;
     m_hedgeCredit -= 1.0;
     send(call, pick.value().peer, actions, now);
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -88,6 +88,9 @@
     call->deadline = std::min(call->deadline, chain.deadline);
     call->entered -= chain.run.age;
     call->rank = chain.rank;
+    call->isRepeat = chain.run.isRepeat;
+    if (call->isRepeat)
+        m_ratio.charge(ratioScope(*call));
     chain.calls.push_back(call->id);
     return std::nullopt;
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -78,9 +78,6 @@
     /// class, caller, revision and retries. Else a call is a request of its own, and takes only
     /// rank and deadline of the execution that makes it, if that is known.
     bool passesContext = true;
-    /// What a repeat costs of the ratio if the work may have run before: it makes its calls to
-    /// other services again. One that was turned away costs 1.
-    double rerunCost = 1.0;
     double hedgeAfterShare = 0.0; ///< of the time that the caller gives, the soonest for a hedge
     /// Longest time after which a caller who is turned away unserved is asked to come again;
     /// 0 to leave it to the caller.
@@ -184,6 +181,7 @@
         ChainBudget budget;
         bool ownKey = false;
         bool mayHaveRun = false; ///< an attempt ended without a known outcome
+        bool isRepeat = false;   ///< \see Run::isRepeat, for the next attempt
         std::optional<ExecutionId> parent;
         TraceContext trace;
         std::uint64_t parentSpan = 0;
--- a/src/entry/tests/test_placement.cpp
+++ b/src/entry/tests/test_placement.cpp
@@ -240,3 +240,42 @@
     const EntryActions actions = begin(true);
     BOOST_TEST(!sent(actions)->run.chainRank.has_value());
 }
+
+BOOST_FIXTURE_TEST_CASE(whatMayHaveReachedAnUpstreamBeforeIsMarkedAsARepeat, Fixture)
+{
+    EntryActions actions = begin(true);
+    BOOST_TEST(!sent(actions)->run.isRepeat);
+    actions = answer(SendRun(*sent(actions)), Outcome::NotRun, false);
+    BOOST_TEST(!sent(actions)->run.isRepeat); // No upstream has seen it.
+    actions = answer(SendRun(*sent(actions)), Outcome::Failed, true, 500);
+    BOOST_REQUIRE(sent(actions) != nullptr);
+    BOOST_TEST(sent(actions)->run.isRepeat);
+}
+
+/// Half of all calls fail, and some are made by runs that are repeats themselves: both count.
+BOOST_FIXTURE_TEST_CASE(repeatsOfCallsAndCallsOfRepeatsShareOneBound, Fixture)
+{
+    constexpr int executions = 2000;
+    constexpr int callsEach = 4;
+    int repeats = 0;
+    for (int i = 0; i < executions; ++i) {
+        const ExecutionId parent{static_cast<std::uint64_t>(1000 + i)};
+        Run run;
+        run.isRepeat = i % 14 == 0; // a share of 0.07, below the ratio of 0.1
+        entry->beginExecution(parent, run, Rank{0}, start + std::chrono::seconds(1));
+        for (int call = 0; call < callsEach; ++call) {
+            EntryActions actions = begin(true, parent);
+            BOOST_REQUIRE(sent(actions) != nullptr);
+            BOOST_TEST(sent(actions)->run.isRepeat == run.isRepeat);
+            repeats += run.isRepeat ? 1 : 0;
+            if ((i + call) % 2 != 0)
+                continue;
+            actions = answer(SendRun(*sent(actions)), Outcome::Failed, true, 500);
+            repeats += sent(actions) != nullptr ? 1 : 0;
+        }
+        EntryActions left;
+        (void)entry->endExecution(parent, start, noWall, &left);
+    }
+    BOOST_TEST(repeats <= 2 + executions * callsEach / 10);
+    BOOST_TEST(repeats >= executions * callsEach * 9 / 100);
+}
--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -70,6 +70,7 @@
     trace->set_sampled(run.trace.sampled);
     out->set_target(work.target);
     encodeHeaders(work.headers, out);
+    out->set_is_repeat(run.isRepeat);
     if (run.chainRank)
         out->set_chain_rank(run.chainRank->value());
     if (run.alternate)
@@ -102,6 +103,7 @@
     run.revision = Revision{in->revision()};
     const wire::Trace &trace = in->trace();
     run.trace = {trace.trace_high(), trace.trace_low(), trace.span(), trace.sampled()};
+    run.isRepeat = in->is_repeat();
     if (in->has_chain_rank())
         run.chainRank = Rank{in->chain_rank()};
     if (in->has_alternate())
--- a/src/link/tests/test_link.cpp
+++ b/src/link/tests/test_link.cpp
@@ -31,6 +31,7 @@
     run.trace = {1, 2, 3, true};
     run.alternate = PeerRef{InstanceId{"x"}, Incarnation{8}, "1.2.3.4:5"};
     run.chainRank = Rank{6};
+    run.isRepeat = true;
     return run;
 }
 
@@ -59,6 +60,7 @@
     BOOST_TEST(run.work.body == fullRun().work.body);
     BOOST_TEST((run.alternate == fullRun().alternate));
     BOOST_TEST((run.chainRank == fullRun().chainRank));
+    BOOST_TEST(run.isRepeat);
 }
 
 BOOST_AUTO_TEST_CASE(damagedBytesNeverPassAsAnotherBody)
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -15,11 +15,9 @@
 
 constexpr Duration housekeepingInterval = std::chrono::milliseconds(250);
 constexpr Duration settingsInterval = std::chrono::seconds(2);
-/// Of the bound on repeats, what entries spend on repeats of a service's own requests. The rest is
-/// left for calls that repeated work makes again, which count at the service that they reach: with
-/// rerunCost that is 0.45 + 3 * 0.45 / 2.5 of the bound for chains of four services.
-constexpr double ownRetryShare = 0.45;
-constexpr double rerunCost = 2.5;
+/// Of the bound on repeats, what entries may spend. Calls that repeated runs make count too and
+/// can't be held back; they are charged to the node that sends them, whose share they may exceed.
+constexpr double ownRetryShare = 0.6;
 /// Callers need two failed readiness checks, a second apart, to go elsewhere.
 constexpr Duration shortestStop = std::chrono::milliseconds(2600);
 /// Left between the last chance to end in order and the kill.
@@ -209,7 +207,6 @@
     proxySettings.entry.freePlacements = 4;
     proxySettings.entry.ratioPerService = true;
     proxySettings.entry.passesContext = false;
-    proxySettings.entry.rerunCost = rerunCost;
     proxySettings.entry.hedgeAfterShare = 0.4;
     proxySettings.entry.returnWithin = std::chrono::milliseconds(400);
     proxySettings.gate.chancesLate = true;
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -42,15 +42,21 @@
     saved = std::min(m_settings.burst, saved + m_settings.ratio);
 }
 
-bool RetryRatio::spend(const std::string &scope, double cost)
+bool RetryRatio::spend(const std::string &scope)
 {
     double &saved = credit(scope);
-    if (saved < cost)
+    if (saved < 1.0)
         return false;
-    saved -= cost;
+    saved -= 1.0;
     return true;
 }
 
+void RetryRatio::charge(const std::string &scope)
+{
+    double &saved = credit(scope);
+    saved = std::max(-maxDebt, saved - 1.0);
+}
+
 RetryChoice chooseRetry(const AttemptEnd &end)
 {
     switch (end.outcome) {
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -53,14 +53,19 @@
 
     void recordRequest(const std::string &scope);
 
-    /// Takes \a cost retries of \a scope. Returns whether there were as many.
-    bool spend(const std::string &scope, double cost = 1.0);
+    /// Takes one retry of \a scope. Returns whether there was one.
+    bool spend(const std::string &scope);
+
+    /// Takes one retry of \a scope for a request that is sent in any case, as a call of a run that
+    /// was itself a repeat; the scope may be in debt afterwards.
+    void charge(const std::string &scope);
 
     /// Sets the share and the savings, for what is saved from now on.
     void set(Settings settings) { m_settings = settings; }
 
 private:
     static constexpr std::size_t maxScopes = 4096;
+    static constexpr double maxDebt = 20.0; ///< retries; older debts are forgiven
 
     double &credit(const std::string &scope);
 
--- a/src/retry/tests/test_retry.cpp
+++ b/src/retry/tests/test_retry.cpp
@@ -54,6 +54,25 @@
     BOOST_TEST(ratio.spend(std::string{"auditors"}));
 }
 
+/// What is sent in any case is paid for by retries that aren't made.
+BOOST_AUTO_TEST_CASE(chargesComeOffTheRetries)
+{
+    RetryRatio ratio({0.1, 5.0});
+    const std::string service{"terms"};
+    int repeats = 0;
+    for (int i = 0; i < 1000; ++i) {
+        ratio.recordRequest(service);
+        if (i % 20 == 0) {
+            ratio.charge(service);
+            ++repeats;
+        }
+        while (ratio.spend(service))
+            ++repeats;
+    }
+    BOOST_TEST(repeats <= 105);
+    BOOST_TEST(repeats >= 95);
+}
+
 BOOST_AUTO_TEST_CASE(whatMayHaveRunIsNeverSentElsewhere)
 {
     for (const bool ownKey : {false, true}) {
