--- /dev/null
+++ b/src/proxy/node_policy.cpp
@@ -0,0 +1,54 @@
+#include "proxy/node_policy_p.h"
+
+namespace buckthornford {
+
+namespace {
+
+/// Of the bound on repeats, what entries may spend. Calls that repeated runs make count too and
+/// can't be held back; they are charged to the node that sends them, whose share they may exceed.
+constexpr double ownRetryShare = 0.6;
+/// Other targets tried for a request that no upstream has got yet; few services have more nearby.
+constexpr std::uint32_t freePlacements = 4;
+/// Of the time that a caller gives, before a second target is asked; a repeat still fits then.
+constexpr double hedgeAfterShare = 0.4;
+/// The longest Retry-After; callers wait a third of the time they have left at the most.
+constexpr Duration returnWithin = std::chrono::milliseconds(400);
+/// Of a route's objective, in a gate's queue; the platform's operators want refusals by then.
+constexpr double patienceShare = 0.125;
+/// Of the bound on a leaving upstream: until other nodes know, and until nothing waiting may start.
+constexpr double drainSpreadShare = 0.3;
+constexpr double drainLimitShare = 0.8;
+/// Of the bound on a stop: callers are turned away for the rest, so that what is running ends.
+constexpr double stopRefusalShare = 0.7;
+
+} // namespace
+
+ProxySettings proxySettingsOf(const ServiceNodeSettings &settings, const PeerRef &self,
+                              std::uint64_t seed)
+{
+    ProxySettings proxy;
+    proxy.place = {settings.instance, settings.zone, settings.region};
+    proxy.self = self;
+    proxy.callerService = settings.callerService;
+    proxy.entry.router = RouterKind::LeastCost;
+    proxy.entry.chooseRetry = chooseRetryWithoutKeys;
+    proxy.entry.usesKeys = false;
+    proxy.entry.freePlacements = freePlacements;
+    proxy.entry.ratioPerService = true;
+    proxy.entry.passesContext = false;
+    proxy.entry.hedgeAfterShare = hedgeAfterShare;
+    proxy.entry.returnWithin = returnWithin;
+    proxy.gate.chancesLate = true;
+    proxy.gate.limiter = LimiterKind::Fixed;
+    proxy.gate.keepsRecord = false;
+    proxy.gate.patienceShare = patienceShare;
+    proxy.retryRatio = settings.retryRatio * ownRetryShare;
+    proxy.retrySlack = settings.retrySlack * ownRetryShare;
+    proxy.drainLimit = scaled(settings.drainBound, drainLimitShare);
+    proxy.drainSpread = scaled(settings.drainBound, drainSpreadShare);
+    proxy.stopRefusal = scaled(settings.stopBound, stopRefusalShare);
+    proxy.seed = seed;
+    return proxy;
+}
+
+} // namespace buckthornford
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -195,6 +195,9 @@
     void tellCondition();
     MemberState state() const;
 
+    /// Clocks of machines may step by minutes; decisions here use no wall time.
+    static constexpr WallTime noWallTime{0};
+
     ProxySettings m_settings;
     Adapter m_adapter;
     ProxyOutputs m_outputs;
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -1,6 +1,7 @@
 #include "proxy/service_node.h"
 
 #include "proxy/gossip_task.h"
+#include "proxy/node_policy_p.h"
 #include "proxy/proxy_task.h"
 #include "store/store.h"
 #include "telemetry/event_log.h"
@@ -15,9 +16,6 @@
 
 constexpr Duration housekeepingInterval = std::chrono::milliseconds(250);
 constexpr Duration settingsInterval = std::chrono::seconds(2);
-/// Of the bound on repeats, what entries may spend. Calls that repeated runs make count too and
-/// can't be held back; they are charged to the node that sends them, whose share they may exceed.
-constexpr double ownRetryShare = 0.6;
 /// Callers need two failed readiness checks, a second apart, to go elsewhere.
 constexpr Duration shortestStop = std::chrono::milliseconds(2600);
 /// Left between the last chance to end in order and the kill.
@@ -197,29 +195,7 @@
     member.region = settings.region;
     member.service = settings.callerService;
 
-    ProxySettings proxySettings;
-    proxySettings.place = {settings.instance, settings.zone, settings.region};
-    proxySettings.self = self;
-    proxySettings.callerService = settings.callerService;
-    proxySettings.entry.router = RouterKind::LeastCost;
-    proxySettings.entry.chooseRetry = chooseRetryWithoutKeys;
-    proxySettings.entry.usesKeys = false;
-    proxySettings.entry.freePlacements = 4;
-    proxySettings.entry.ratioPerService = true;
-    proxySettings.entry.passesContext = false;
-    proxySettings.entry.hedgeAfterShare = 0.4;
-    proxySettings.entry.returnWithin = std::chrono::milliseconds(400);
-    proxySettings.gate.chancesLate = true;
-    proxySettings.gate.limiter = LimiterKind::Fixed;
-    proxySettings.gate.keepsRecord = false;
-    proxySettings.gate.patienceShare = 0.125;
-    proxySettings.retryRatio = settings.retryRatio * ownRetryShare;
-    proxySettings.retrySlack = settings.retrySlack * ownRetryShare;
-    proxySettings.drainLimit = scaled(settings.drainBound, 0.8);
-    proxySettings.drainSpread = scaled(settings.drainBound, 0.3);
-    proxySettings.stopRefusal = scaled(settings.stopBound, 0.7);
-    proxySettings.seed = seed;
-
+    const ProxySettings proxySettings = proxySettingsOf(settings, self, seed);
     proxy = std::make_unique<ProxyTask>(&loop, proxySettings, adapter, proxyOutputs());
     gossip = std::make_unique<GossipTask>(&loop, std::move(member), settings.seeds, seed,
                                           gossipOutputs());
@@ -319,39 +295,10 @@
     proxy->post(ConfigurationTaken{configuration.value()});
 }
 
-/// Opens a connection to the upstream and closes it.
 void ServiceNode::Private::probeUpstream()
 {
-    constexpr Duration probeTimeout = std::chrono::milliseconds(300);
-    struct Probe
-    {
-        explicit Probe(EventLoop *loop)
-            : socket(*loop)
-            , timer(*loop)
-        {}
-        boost::asio::ip::tcp::socket socket;
-        boost::asio::steady_timer timer;
-        bool isDone = false;
-    };
-    const auto attempt = std::make_shared<Probe>(&loop);
-    const auto finish = [this, attempt](bool isReachable) {
-        if (std::exchange(attempt->isDone, true))
-            return;
-        attempt->timer.cancel();
-        boost::system::error_code ignored;
-        attempt->socket.close(ignored);
-        proxy->post(UpstreamProbed{isReachable});
-    };
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address_v4(upstreamAddress.host, error);
-    attempt->socket.async_connect(
-            {address, upstreamAddress.port},
-            [finish](const boost::system::error_code &failure) { finish(!failure); });
-    attempt->timer.expires_after(probeTimeout);
-    attempt->timer.async_wait([finish](const boost::system::error_code &cancelled) {
-        if (!cancelled)
-            finish(true); // Silence is no proof of a crash.
-    });
+    probe(&loop, upstreamAddress,
+          [this](bool isReachable) { proxy->post(UpstreamProbed{isReachable}); });
 }
 
 void ServiceNode::Private::readSettings()
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -67,6 +67,10 @@
 
 using UpstreamMessage = std::variant<StartJob, CancelJob, UpstreamChanged>;
 
+/// Opens a connection to \a endpoint, closes it, and tells \a report whether it was accepted; an
+/// endpoint that stays silent counts as reachable.
+void probe(EventLoop *loop, const Endpoint &endpoint, std::function<void(bool)> report);
+
 /// Called when a job has ended; a cancelled job ends at once.
 using UpstreamReport = std::function<void(UpstreamResult)>;
 
