--- a/tests/soak/judge.py
+++ b/tests/soak/checks.py
@@ -2,21 +2,18 @@
 
 import json
 
-from world import HOST, now
-
 DRAIN_S = 2.5  # DrainMs of the settings
 NOT_RUN = (408, 421, 429, 503)
 SERVED_SHARE = 0.95  # of the requests on a calm day
 
 
-class Judge:
-    def __init__(self, world, requests, fault_log):
+class Checks:
+    def __init__(self, deployment, requests):
         self.requests = {request["id"]: request for request in requests}
         self.runs = {}
         self.leavings = {}  # identity of an upstream: when its leaving was acknowledged
-        self.fault_log = fault_log
-        self.world = world
-        for instance in world.instances:
+        self.deployment = deployment
+        for instance in deployment.instances:
             self.read_ledger(instance)
 
     def read_ledger(self, instance):
@@ -100,7 +97,7 @@
                 yield f"{request['id']} was passed on and its connection ended: {request['error']}"
 
     def processes_live(self):
-        yield from self.world.unexpected
+        yield from self.deployment.unexpected
 
     def calm_requests_are_served(self):
         calm = [request for request in self.requests.values() if request["isCalm"]]
@@ -109,8 +106,8 @@
             yield f"{served} of {len(calm)} served after the faults had ended"
 
 
-def newest_is_in_force(world, ask):
+def newest_is_in_force(deployment, ask):
     """Whether every node serves the newest probe route and none before it."""
-    newest, before = f"/probe-{world.version}/x", f"/probe-{world.version - 1}/x"
+    newest, before = f"/probe-{deployment.version}/x", f"/probe-{deployment.version - 1}/x"
     return all(ask(instance, newest) == 200 and ask(instance, before) == 404
-               for instance in world.instances)
+               for instance in deployment.instances)
--- a/tests/soak/world.py
+++ b/tests/soak/deployment.py
@@ -29,35 +29,35 @@
 class Instance:
     """A node and its upstream, each a process, with proxied links to the rest."""
 
-    def __init__(self, number, world):
-        self.world = world
+    def __init__(self, number, deployment):
+        self.deployment = deployment
         self.service = SERVICES[number % len(SERVICES)]
         self.zone = ZONES[number // len(SERVICES) % len(ZONES)]
         self.name = f"{self.service}-{number}"
-        take = world.ports.take
+        take = deployment.ports.take
         self.callers, self.admin, self.readiness, self.upstream_address = take(), take(), take(), take()
         self.peers, self.metrics = self.take_pair()
         self.dialled, self.store, self.upstream_dialled = take(), take(), take()
         self.links = {
             f"peer-{number}": (self.dialled, self.peers),
-            f"store-{number}": (self.store, world.store_address),
+            f"store-{number}": (self.store, deployment.store_address),
             f"upstream-{number}": (self.upstream_dialled, self.upstream_address),
         }
-        self.ledger = world.folder / f"{self.name}.ledger"
+        self.ledger = deployment.folder / f"{self.name}.ledger"
         self.node = self.upstream = None
         self.starts = 0
-        self.lock = threading.Lock()  # one signal at a time; links are harmed beside it
+        self.lock = threading.Lock()  # one signal at a time; links are degraded beside it
         self.disturbed = []  # (begin, end) of what was done to the node
 
     def take_pair(self):
         """Two ports in a row, as the settings name a range."""
         while True:
-            first, second = self.world.ports.take(), self.world.ports.take()
+            first, second = self.deployment.ports.take(), self.deployment.ports.take()
             if port_of(second) == port_of(first) + 1:
                 return first, second
 
     def write_settings(self):
-        path = self.world.folder / f"{self.name}.toml"
+        path = self.deployment.folder / f"{self.name}.toml"
         path.write_text(
             f"""NodeId = "{self.name}"
 Ip = "127.0.0.1"
@@ -83,7 +83,7 @@
     def start_node(self):
         environment = dict(os.environ, BUCKTHORNFORD_NODE_FILE=str(self.write_settings()),
                            BUCKTHORNFORD_ADVERTISE=self.dialled)
-        self.node = self.world.run(self.name, [str(fleet.BIN / "buckthornford-platform-node")], environment)
+        self.node = self.deployment.run(self.name, [str(fleet.BIN / "buckthornford-platform-node")], environment)
 
     def start_upstream(self, same_identity=False):
         if not same_identity or self.starts == 0:
@@ -91,13 +91,13 @@
         command = [sys.executable, str(HERE / "upstream.py"), str(port_of(self.upstream_address)),
                    self.upstream_dialled, f"i-{self.name}-{self.starts}", self.service, self.admin,
                    str(self.ledger)]
-        self.upstream = self.world.run(f"{self.name}-upstream", command)
+        self.upstream = self.deployment.run(f"{self.name}-upstream", command)
 
     def is_ready(self):
         return fleet.http("GET", self.readiness, "/readyz", timeout=1)[0] == 200
 
 
-class World:
+class Deployment:
     def __init__(self, instances, first_port, folder):
         self.folder = pathlib.Path(folder)
         self.ports = fleet.Ports(first_port)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,9 +1,9 @@
-"""What a soak does to its world. Each fault is (begin, seconds that it lasts, end)."""
+"""The faults of a soak. Each fault is (begin, seconds that it lasts, end)."""
 
 import signal
 import time
 
-from world import fleet, now
+from deployment import fleet, now
 
 TOUCH_S = 3.0  # after a disturbance a node counts as disturbed for this long
 
@@ -27,20 +27,20 @@
 class Faults:
     """Draws faults at random and notes which nodes they disturb, and when."""
 
-    def __init__(self, world, random):
-        self.world = world
+    def __init__(self, deployment, random):
+        self.deployment = deployment
         self.random = random
         self.kinds = [
             self.kill_node, self.stop_node, self.pause_node, self.hang_up_node, self.kill_upstream,
-            self.pause_upstream, self.drain_upstream, self.harm_link, self.harm_link, self.harm_link,
-            self.harm_store, self.harm_store, self.change_configuration, self.forget_history,
+            self.pause_upstream, self.drain_upstream, self.degrade_link, self.degrade_link, self.degrade_link,
+            self.degrade_store, self.degrade_store, self.change_configuration, self.forget_history,
         ]
         self.log = []
 
     def draw(self):
-        """Does one fault from its begin to its end."""
+        """Injects one fault, from its start to its end."""
         kind = self.random.choice(self.kinds)
-        instance = self.random.choice(self.world.instances)
+        instance = self.random.choice(self.deployment.instances)
         span = self.random.uniform(0.2, 4.0)
         self.log.append((round(now(), 3), kind.__name__, instance.name, round(span, 2)))
         begin = now()
@@ -91,7 +91,7 @@
             wait_for_end(instance.upstream, 12.0)
             instance.start_upstream()
 
-    def harm_link(self, instance, span):
+    def degrade_link(self, instance, span):
         name = self.random.choice(sorted(instance.links))
         fault = self.random.choice([
             {"delayMs": self.random.choice([20, 200, 800])},
@@ -103,21 +103,21 @@
             {"swallowExisting": True},
             {"breakAfterBytes": self.random.choice([1, 100, 1000])},
         ])
-        self.world.set_link(name, **fault)
+        self.deployment.set_link(name, **fault)
         time.sleep(span)
-        self.world.set_link(name)
+        self.deployment.set_link(name)
 
-    def harm_store(self, _, span):
-        store = self.world.store
+    def degrade_store(self, _, span):
+        store = self.deployment.store
         fault = self.random.choice(["down", "silent", "slow", "lost"])
         store.set_fault(fault)
         time.sleep(span)
         store.set_fault(None)
 
     def forget_history(self, *_):
-        self.world.store.forget()
+        self.deployment.store.forget()
 
     def change_configuration(self, *_):
-        with self.world.lock:
-            self.world.configure()
+        with self.deployment.lock:
+            self.deployment.configure()
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,14 +21,13 @@
 
 import faults  # noqa: E402
 import fleet  # noqa: E402
-import judge  # noqa: E402
-from world import HOST, TIMEOUT_MS, World, now  # noqa: E402
+import checks  # noqa: E402
+from deployment import HOST, TIMEOUT_MS, Deployment, now  # noqa: E402
 
 RECOVER_S = 15  # until all is served again after the faults
 CALM_S = 4
 FAULTS_AT_ONCE = 3
 ANSWER_SLACK_S = 1.0  # a caller waits this much longer than its deadline
-RESTART_S = 0.5
 
 
 class Caller(threading.Thread):
@@ -45,8 +44,8 @@
 
     def run(self):
         while not self.soak.is_over:
-            instance = self.soak.world.instances[
-                (self.number + self.count // 20) % len(self.soak.world.instances)]
+            instance = self.soak.deployment.instances[
+                (self.number + self.count // 20) % len(self.soak.deployment.instances)]
             self.ask(instance, self.random.choice(["/status/x", "/affirm/x", "probe"]))
             time.sleep(self.random.uniform(0.0, 0.02))
 
@@ -56,7 +55,7 @@
                    "start": instance.node.pid, "status": None, "answer": None, "signature": None,
                    "error": "", "isCalm": self.soak.is_calm}
         if path == "probe":
-            request["probe"] = max(1, self.soak.world.version - self.random.choice([0, 0, 1]))
+            request["probe"] = max(1, self.soak.deployment.version - self.random.choice([0, 0, 1]))
             path = f"/probe-{request['probe']}/x"
             request["isCalm"] = False  # Routes come and go beside it.
         request["idempotent"] = not path.startswith("/affirm")
@@ -94,8 +93,8 @@
         self.options = options
         self.random = random.Random(options.seed)
         first_port = 10000 + options.seed % 20 * 1000
-        self.world = World(options.instances, first_port, folder)
-        self.faults = faults.Faults(self.world, self.random)
+        self.deployment = Deployment(options.instances, first_port, folder)
+        self.faults = faults.Faults(self.deployment, self.random)
         self.callers = [Caller(i, self) for i in range(options.callers)]
         self.is_over = False
         self.is_calm = False
@@ -104,28 +103,28 @@
         """Plays the soak. Returns the broken promises."""
         prober = Caller(len(self.callers), self)
         try:
-            self.world.wait_ready(RECOVER_S)
+            self.deployment.wait_ready(RECOVER_S)
             fleet.wait_until(lambda: self.serves_everywhere(prober), RECOVER_S, "service at the start")
             for caller in self.callers:
                 caller.start()
-            self.harm(self.options.seconds)
+            self.inject_faults(self.options.seconds)
             broken = self.recover(prober)
-            self.calm_day()
+            self.planned_stops()
             self.is_over = True
             for caller in self.callers:
                 caller.join()
             requests = [request for caller in [*self.callers, prober] for request in caller.requests]
             self.note_ends()
-            return broken + judge.Judge(self.world, requests, self.faults.log).broken()
+            return broken + checks.Checks(self.deployment, requests).broken()
         finally:
             self.is_over = True
-            self.world.close()
+            self.deployment.close()
 
     def serves_everywhere(self, prober):
         return all(prober.ask(instance, path)["status"] == 200
-                   for instance in self.world.instances for path in ("/status/x", "/affirm/x"))
+                   for instance in self.deployment.instances for path in ("/status/x", "/affirm/x"))
 
-    def harm(self, seconds):
+    def inject_faults(self, seconds):
         """Several series of faults at once, so that they overlap."""
         end = now() + seconds
 
@@ -142,19 +141,19 @@
 
     def recover(self, prober):
         """All faults have ended; within the bound every node serves by the newest configuration."""
-        self.world.configure()
+        self.deployment.configure()
         ask = lambda instance, path: prober.ask(instance, path)["status"]  # noqa: E731
         try:
-            fleet.wait_until(lambda: judge.newest_is_in_force(self.world, ask)
+            fleet.wait_until(lambda: checks.newest_is_in_force(self.deployment, ask)
                              and self.serves_everywhere(prober), RECOVER_S, "recovery")
         except TimeoutError as error:
             return [f"recovery: {error}"]
         return []
 
-    def calm_day(self):
+    def planned_stops(self):
         """Planned work only: each node is stopped in turn while callers go on."""
         self.is_calm = True
-        for instance in self.world.instances[: self.options.stops]:
+        for instance in self.deployment.instances[: self.options.stops]:
             instance.node.send_signal(signal.SIGTERM)
             faults.wait_for_end(instance.node, 7.0)
             instance.start_node()
@@ -162,10 +161,10 @@
         time.sleep(CALM_S)
 
     def note_ends(self):
-        for instance in self.world.instances:
+        for instance in self.deployment.instances:
             for what, process in (("node", instance.node), ("upstream", instance.upstream)):
                 if process.poll() is not None:
-                    self.world.unexpected.append(f"{what} of {instance.name} ended with {process.returncode}")
+                    self.deployment.unexpected.append(f"{what} of {instance.name} ended with {process.returncode}")
 
 
 def main():
