--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -252,3 +252,27 @@
     limits = {"HeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}
     resources.append({"ResourceKind": "Limits", "Metadata": {}, "Spec": limits})
     return {"Version": version, "BaseVersion": 0, "Resources": resources}
+
+
+def settings_text(name, zone, service, ports, doors, store, seeds=()):
+    """A node's settings file; doors are (outbound, readiness, admin) and ports the range's ends."""
+    outbound, readiness, admin = doors
+    return f"""NodeId = "{name}"
+Ip = "127.0.0.1"
+Zone = "{zone}"
+Region = "r"
+PortRange = [{ports[0]},{ports[1]}]
+Seeds = {list(seeds)}
+Service = "{service}"
+[Bind]
+Outbound = "{outbound}"
+Readiness = "{readiness}"
+Admin = "{admin}"
+[Bounds]
+RetryRatio = 0.2
+BudgetSlack = 47
+DrainMs = 2500
+GraceS = 6
+[Platform]
+Address = "{store}"
+"""
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -14,7 +14,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "scripts"))
 
 import fleet  # noqa: E402
-from platform_standins import Store, Upstream, configuration  # noqa: E402
+from platform_standins import Store, Upstream, configuration, settings_text  # noqa: E402
 
 SAFE = ("swap.example", "/status/", "safe", "tracker", 2000)
 UNSAFE = ("swap.example", "/affirm/", "unsafe", "affirmer", 2000)
@@ -37,27 +37,9 @@
         self.peers = ports.take()
         ports.take()
         self.file = pathlib.Path(folder) / f"{name}.toml"
-        self.file.write_text(
-            f"""NodeId = "{name}"
-Ip = "127.0.0.1"
-Zone = "{zone}"
-Region = "r"
-PortRange = [{self.peers},{self.peers + 1}]
-Seeds = {seeds}
-Service = "{service}"
-[Bind]
-Outbound = "127.0.0.1:{self.outbound}"
-Readiness = "127.0.0.1:{self.readiness}"
-Admin = "127.0.0.1:{self.admin}"
-[Bounds]
-RetryRatio = 0.2
-BudgetSlack = 47
-DrainMs = 2500
-GraceS = 6
-[Platform]
-Address = "{store}"
-"""
-        )
+        doors = [f"127.0.0.1:{port}" for port in (self.outbound, self.readiness, self.admin)]
+        port_range = (self.peers, self.peers + 1)
+        self.file.write_text(settings_text(name, zone, service, port_range, doors, store, seeds))
         self.log = open(pathlib.Path(folder) / f"{name}.log", "ab")
         self.upstream = Upstream(self.upstream_port, f"i-{name}", service, f"127.0.0.1:{self.admin}")
         self.process = None
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -14,7 +14,7 @@
 sys.path.insert(0, str(HERE.parent.parent / "scripts"))
 
 import fleet  # noqa: E402
-from platform_standins import Store, configuration  # noqa: E402
+from platform_standins import Store, configuration, settings_text  # noqa: E402
 
 SERVICES = ("tracker", "affirmer")
 ZONES = ("a", "b", "c")
@@ -58,26 +58,9 @@
 
     def write_settings(self):
         path = self.deployment.folder / f"{self.name}.toml"
-        path.write_text(
-            f"""NodeId = "{self.name}"
-Ip = "127.0.0.1"
-Zone = "{self.zone}"
-Region = "r"
-PortRange = [{port_of(self.peers)},{port_of(self.metrics)}]
-Service = "{self.service}"
-[Bind]
-Outbound = "{self.callers}"
-Readiness = "{self.readiness}"
-Admin = "{self.admin}"
-[Bounds]
-RetryRatio = 0.2
-BudgetSlack = 47
-DrainMs = 2500
-GraceS = 6
-[Platform]
-Address = "{self.store}"
-"""
-        )
+        ports = (port_of(self.peers), port_of(self.metrics))
+        doors = (self.callers, self.readiness, self.admin)
+        path.write_text(settings_text(self.name, self.zone, self.service, ports, doors, self.store))
         return path
 
     def start_node(self):
