Let the store stand-in come back from a copy

Cause: on the users' platform the store may be away for a moment and come back from a copy some seconds old; no test could do that.

Change: copy() and restore() of the stand-in: rows, version and history go back, versions are given out again, waiting feeds end, a feed from a version that it doesn't have gets 410. Store-Era is in all answers and rises at each restore. repeat_lost_writes() writes the operator's lost rows again, unless it has written them since.

--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -56,12 +56,23 @@
         self.version = 1
         self.history = []
         self.truncated_version = 0  # the history holds only later versions
+        self.era = 1  # rises each time the store comes back from a copy
+        self.lost_writes = []  # of the operator, by the last restore
         self.fault = None  # "down" (503), "silent", "slow" or "lost" (answers of writes)
         self.calls = 0
         self.changed = threading.Condition()
         store = self
 
         class StoreHandler(Handler):
+            def parse_request(self):
+                # An answer to a call that was under way at a restore names the era before it.
+                self.era = store.era
+                return super().parse_request()
+
+            def end_headers(self):
+                self.send_header("Store-Era", str(self.era))
+                super().end_headers()
+
             def do_GET(self):
                 store.calls += 1
                 if store.apply_fault(self):
@@ -122,8 +133,11 @@
         after = int(query["after"])
         deadline = time.monotonic() + int(query["WaitMs"]) / 1000
         with self.changed:
+            era = self.era
             while True:
-                if after < self.truncated_version:
+                if self.era != era:
+                    return (503, {})
+                if not self.truncated_version <= after <= self.version:
                     return (410, {})
                 rows = [row for row in self.history if row["Ver"] > after
                         and row["Table"] == query["Table"]]
@@ -151,7 +165,15 @@
 
     def put_configuration(self, document):
         value = base64.b64encode(json.dumps(document).encode()).decode()
-        self.transact({"Puts": [{"Table": "op", "part": "", "Key": "config", "Value": value}]})
+        self.put("op", "config", value)
+
+    def put(self, table, key, value):
+        self.transact({"Puts": [{"Table": table, "part": "", "Key": key, "Value": value}]})
+
+    def values(self, table):
+        """Returns the values of a table's rows by their keys."""
+        with self.changed:
+            return {name[2]: row["Value"] for name, row in self.rows.items() if name[0] == table}
 
     def set_fault(self, fault):
         with self.changed:
@@ -166,6 +188,30 @@
             self.truncated_version = self.version
             self.changed.notify_all()
 
+    def copy(self):
+        """Returns a copy of the state, for restore()."""
+        with self.changed:
+            return dict(self.rows), self.version, list(self.history), self.truncated_version
+
+    def restore(self, copy):
+        """Comes back from a copy: what was written since is lost, and versions are reused."""
+        with self.changed:
+            rows = self.rows
+            copied_rows, self.version, copied_history, self.truncated_version = copy
+            self.rows, self.history = dict(copied_rows), list(copied_history)
+            self.lost_writes = [
+                {"ExpectedRev": [dict(row, Ver=self.rows.get(name, {"Ver": 0})["Ver"])],
+                 "Puts": [row]}
+                for name, row in rows.items() if name[0] == "op" and row["Ver"] > self.version
+            ]
+            self.era += 1
+            self.changed.notify_all()
+
+    def repeat_lost_writes(self):
+        """Writes the operator's lost rows again, except those that it has written since."""
+        for write in self.lost_writes:
+            self.transact(write)
+
 
 class Upstream:
     """An upstream instance: runs requests, lists them and sends heartbeats to its node."""
