Test that nodes keep their configuration when the store goes back

Cause: a store that comes back from a copy holds an older configuration until the operator has written the lost one again.

--- a/tests/integration/platform_nodes.py
+++ b/tests/integration/platform_nodes.py
@@ -1,5 +1,6 @@
 """Starts real buckthornford-platform-node processes for the integration tests."""
 
+import contextlib
 import os
 import pathlib
 import subprocess
@@ -17,6 +18,8 @@
 SAFE = ("swap.example", "/status/", "safe", "tracker", 2000)
 UNSAFE = ("swap.example", "/affirm/", "unsafe", "affirmer", 2000)
 SERVICES = ("tracker", "affirmer")
+IN_FORCE_S = 5  # from the operator's write until all nodes serve by a configuration
+AWAY_S = 0.5  # of a store that comes back from a copy
 
 
 class Ports(fleet.Ports):
@@ -30,6 +33,7 @@
     """One node process with its settings file."""
 
     def __init__(self, name, zone, service, ports, store, seeds, folder):
+        self.name = name
         self.outbound, self.admin, self.readiness, self.upstream_port = (
             ports.take() for _ in range(4))
         # A seed is an address without a port, so it doesn't tell the peer ports of nodes that share
@@ -61,7 +65,7 @@
 
 
 class PlatformTestCase(unittest.TestCase):
-    """Runs four nodes, two for each of two services, beside stand-ins of the store and upstreams."""
+    """Runs two nodes for each of two services, beside stand-ins of the store and upstreams."""
 
     first_port = None  # set by each subclass
 
@@ -71,6 +75,7 @@
         store_port = self.ports.take()
         self.store = Store(store_port)
         self.store.put_configuration(configuration(3, [SAFE, UNSAFE], SERVICES))
+        self.copy_without_nodes = self.store.copy()
         self.store_address = f"127.0.0.1:{store_port}"
         self.nodes = []
         for service in SERVICES:
@@ -129,6 +134,25 @@
             for path in ("/status/x", "/affirm/x")
         )
 
+    def put_configuration(self, version, routes):
+        self.store.put_configuration(configuration(version, routes, SERVICES))
+
+    def wait_until_in_force(self, served, unknown):
+        """Waits until every node serves one path and knows no route for the other one."""
+        fleet.wait_until(
+            lambda: all(self.send_request(node, served)[0] == 200
+                        and self.send_request(node, unknown)[0] == 404 for node in self.nodes),
+            IN_FORCE_S, f"every node to serve {served} and not {unknown}")
+
+    @contextlib.contextmanager
+    def restored_store(self, copy):
+        """Within the block the store has come back from `copy`, but rejects all calls still."""
+        self.store.set_fault("down")
+        time.sleep(AWAY_S)
+        self.store.restore(copy)
+        yield
+        self.store.set_fault(None)
+
     def executions_of(self, request):
         return [execution for node in self.nodes for execution in node.upstream.executions
                 if execution[0] == request]
