--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """The faults of a soak. Each fault method starts a fault, waits while it lasts and ends it."""
 
 import signal
+import threading
 import time
 
 from deployment import fleet, now
@@ -34,8 +35,9 @@
             self.kill_node, self.stop_node, self.pause_node, self.hang_up_node, self.kill_upstream,
             self.pause_upstream, self.drain_upstream, self.degrade_link, self.degrade_link,
             self.degrade_link, self.degrade_store, self.degrade_store, self.change_configuration,
-            self.forget_history,
+            self.forget_history, self.restore_store,
         ]
+        self.restore_lock = threading.Lock()  # one copy of the store at a time
         self.log = []
 
     def inject_random(self):
@@ -118,6 +120,19 @@
     def forget_history(self, *_):
         self.deployment.store.truncate_history()
 
+    def restore_store(self, _, duration_s):
+        """The store comes back from a copy; what the operator lost is written again soon after."""
+        store = self.deployment.store
+        with self.restore_lock:
+            copy = store.copy()
+            time.sleep(duration_s)
+            store.set_fault("down")
+            time.sleep(self.random.uniform(0.1, 2.0))
+            store.restore(copy)
+            store.set_fault(None)
+            time.sleep(self.random.uniform(0.0, 1.0))
+            store.repeat_lost_writes()
+
     def change_configuration(self, *_):
         with self.deployment.lock:
             self.deployment.publish_configuration()
