Log what a stopping node takes and what it leaves unanswered

A request that a process left open at its end had no line at all, "stopped" didn't say whether the node was idle or out of time, and a call taken after SIGTERM wasn't marked, so logs could not tell the three hypotheses of docs/incidents/requests-lost-after-sigterm.md apart.

Change: request-taken-while-stopping (time since the signal, time limit of the call; rate-limited), request-unanswered (one for each call left open; rate-limited), and in "stopped" the reason (idle or grace-over), the time since the signal and the open calls, executions, responses and streams. No decision changes.

--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -86,6 +86,9 @@
     ~HttpServerTask() override;
 
     std::size_t connectionCount() const { return m_connections.size(); }
+
+    /// Returns the number of requests whose response is not yet wholly written.
+    std::size_t unansweredCount() const;
     std::uint16_t port() const;
 
 protected:
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 namespace buckthornford {
 
 namespace {
@@ -52,6 +54,13 @@
     return m_listener->port();
 }
 
+std::size_t HttpServerTask::unansweredCount() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_connections.begin(), m_connections.end(),
+                          [](const auto &item) { return item.second->isUnanswered(); }));
+}
+
 void HttpServerTask::accept(tcp::socket socket)
 {
     const auto connection = std::make_shared<ServerConnection>(this, std::move(socket));
--- a/src/http1/server_p.h
+++ b/src/http1/server_p.h
@@ -25,6 +25,12 @@
     void sendResponse(const ServerResponse &response);
     bool isTimedOut(TimePoint now) const;
 
+    /// Whether a request has been read whose response is not yet wholly written.
+    bool isUnanswered() const
+    {
+        return m_state == State::AwaitingResponse || m_state == State::Writing;
+    }
+
     /// Closes the connection; answers 408 first if a request is partly read.
     void handleTimeout();
 
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -47,6 +47,13 @@
         stream->close();
 }
 
+std::size_t MeshTask::unsentStreamCount() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_incoming.begin(), m_incoming.end(),
+                          [](const auto &item) { return item.second->hasUnsentFrames(); }));
+}
+
 void MeshTask::accept(tcp::socket socket)
 {
     const StreamId id = nextStreamId();
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -82,6 +82,10 @@
     /// Bytes that were passed to sockets so far, length prefixes included.
     std::uint64_t sentBytes() const { return m_sentBytes; }
 
+    /// Returns the number of incoming streams with frames, mostly answers, that are not yet wholly
+    /// passed to their sockets.
+    std::size_t unsentStreamCount() const;
+
 protected:
     void handle(MeshMessage &&message, TimePoint now) override;
     TimePoint tick(TimePoint now) override;
--- a/src/mesh/stream_p.h
+++ b/src/mesh/stream_p.h
@@ -41,6 +41,7 @@
 
     bool isOutgoing() const { return m_id == StreamId{}; }
     bool wasOpen() const { return m_wasOpen; }
+    bool hasUnsentFrames() const { return m_isWriting || m_queued.frames_size() > 0; }
 
     /// Returns the attempts that the peer has not answered, and forgets them.
     std::vector<AttemptRef> takeUnanswered();
--- a/src/proxy/proxy_log.cpp
+++ b/src/proxy/proxy_log.cpp
@@ -48,6 +48,33 @@
                            now);
 }
 
+/// Logs a call that this node takes although the process has been told to stop.
+void ProxyTask::logCallTakenWhileStopping(const IncomingCall &call, Duration timeout, TimePoint now)
+{
+    if (!m_callbacks.log->tryAcquire(LogCategory::Problem, now))
+        return;
+    m_callbacks.log->write(LogCategory::Problem, "request-taken-while-stopping",
+                           {{"request", call.callerRequestId},
+                            {"since_stop_ms", toMilliseconds(sinceStop(now))},
+                            {"limit_ms", toMilliseconds(timeout)}},
+                           now);
+}
+
+void ProxyTask::logUnansweredCalls(TimePoint now) const
+{
+    for (const auto &[id, callerRequestId] : m_callerRequestIds) {
+        if (!m_callbacks.log->tryAcquire(LogCategory::Problem, now))
+            return;
+        const Work *work = m_dispatcher.findWork(id);
+        m_callbacks.log->write(
+                LogCategory::Problem, "request-unanswered",
+                {{"request", callerRequestId},
+                 {"service", work == nullptr ? std::string_view() : work->service.value()},
+                 {"since_stop_ms", toMilliseconds(sinceStop(now))}},
+                now);
+    }
+}
+
 void ProxyTask::logCallEnd(const FinishCall &action, TimePoint now)
 {
     const CallResult &result = action.result;
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -107,6 +107,8 @@
         call.request.parent = parent->second;
     const Duration timeout = route->timeout;
     call.request.timeout = std::min(call.request.timeout.value_or(timeout), timeout);
+    if (m_stopTime)
+        logCallTakenWhileStopping(call, *call.request.timeout, now);
     carryOut(m_dispatcher.startCall(id, std::move(call.request), m_history, now, unusedWallTime),
              now);
 }
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -163,6 +163,12 @@
     /// Returns whether no call and no execution is open, so that a stop interrupts none.
     bool isIdle() const { return m_dispatcher.openCalls() == 0 && m_admission.isIdle(); }
 
+    std::size_t openCalls() const { return m_dispatcher.openCalls(); }
+    std::size_t runningExecutions() const { return m_runningWork.size(); }
+
+    /// Logs each call that is open now, because the process ends without answering it.
+    void logUnansweredCalls(TimePoint now) const;
+
     /// Returns counters and histograms in the text exposition format (Prometheus 0.0.4).
     std::string metricsText() const;
 
@@ -198,6 +204,8 @@
     void logCallEnd(const FinishCall &action, TimePoint now);
     void logAttempt(const InstanceId &target, const Answer &answer, TimePoint now);
     void logUpstreamEvent(std::string_view event, TimePoint now);
+    void logCallTakenWhileStopping(const IncomingCall &call, Duration timeout, TimePoint now);
+    Duration sinceStop(TimePoint now) const { return m_stopTime ? now - *m_stopTime : Duration{0}; }
     std::string_view callerRequestIdOf(RequestId id) const;
     void refuseCall(RequestId id, const IncomingCall &call, Error reason, TimePoint now);
     void runLocally(const RunRequest &run, ReplyTo from, TimePoint now);
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -76,6 +76,7 @@
     void runPeriodicWork();
     void readSettings();
     void startStop();
+    void logStopped(bool isIdle, TimePoint now);
 
     ServiceNodeSettings settings;
     Adapter adapter;
@@ -338,6 +339,7 @@
         const Duration elapsed = now - *stopTime;
         const bool isDone = elapsed >= minStopDuration && proxy->isIdle();
         if (isDone || elapsed >= settings.stopGracePeriod - stopMargin) {
+            logStopped(isDone, now);
             loop.stop();
             return;
         }
@@ -360,6 +362,21 @@
         store->post(DeregisterSelf{});
 }
 
+/// Logs why the process ends, with what it leaves open.
+void ServiceNode::Private::logStopped(bool isIdle, TimePoint now)
+{
+    proxy->logUnansweredCalls(now);
+    log.write(LogCategory::Process, "stopped",
+              {{"instance", settings.instance.value()},
+               {"reason", isIdle ? "idle" : "grace-over"},
+               {"since_stop_ms", toMilliseconds(now - *stopTime)},
+               {"open_calls", static_cast<std::int64_t>(proxy->openCalls())},
+               {"executions", static_cast<std::int64_t>(proxy->runningExecutions())},
+               {"responses", static_cast<std::int64_t>(callerServer->unansweredCount())},
+               {"unsent_streams", static_cast<std::int64_t>(mesh->unsentStreamCount())}},
+              now);
+}
+
 Result<std::unique_ptr<ServiceNode>> ServiceNode::create(const ServiceNodeSettings &settings,
                                                          const Adapter &adapter,
                                                          SettingsReader reader)
@@ -400,8 +417,6 @@
     awaitSignal();
     m_d->runPeriodicWork();
     m_d->loop.run();
-    m_d->log.write(LogCategory::Process, "stopped", {{"instance", m_d->settings.instance.value()}},
-                   monotonicNow());
     m_d->log.flush();
 }
 
