Move the set-up of the platform path's test into a module

Cause: the tests of a restored store start the same processes.

Change: Node, Ports and the set-up are in platform_nodes.py; start_node() adds one node, also later in a test. No test changes.

--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -3,127 +3,19 @@
 import os
 import pathlib
 import signal
-import subprocess
 import sys
-import tempfile
 import threading
 import time
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "scripts"))
 
-import fleet  # noqa: E402
-from platform_standins import Store, Upstream, configuration, settings_text  # noqa: E402
+from platform_nodes import SAFE, UNSAFE, PlatformTestCase, fleet  # noqa: E402
+from platform_standins import configuration  # noqa: E402
 
-SAFE = ("swap.example", "/status/", "safe", "tracker", 2000)
-UNSAFE = ("swap.example", "/affirm/", "unsafe", "affirmer", 2000)
 
-
-class Ports(fleet.Ports):
-    """Hands out port numbers instead of addresses."""
-
-    def take(self):
-        return int(super().take().rsplit(":", 1)[1])
-
-
-class Node:
-    """One node process with its settings file."""
-
-    def __init__(self, name, zone, service, ports, store, seeds, folder):
-        self.outbound, self.admin, self.readiness, self.upstream_port = (
-            ports.take() for _ in range(4))
-        # A seed is an address without a port, so it doesn't tell the peer ports of nodes that share
-        # an address: each node has its own port range, and they find each other through the store.
-        self.peers = ports.take()
-        ports.take()
-        self.file = pathlib.Path(folder) / f"{name}.toml"
-        listeners = [f"127.0.0.1:{port}" for port in (self.outbound, self.readiness, self.admin)]
-        port_range = (self.peers, self.peers + 1)
-        self.file.write_text(settings_text(name, zone, service, port_range, listeners, store,
-                                           seeds))
-        self.log = open(pathlib.Path(folder) / f"{name}.log", "ab")
-        self.upstream = Upstream(self.upstream_port, f"i-{name}", service,
-                                 f"127.0.0.1:{self.admin}")
-        self.process = None
-
-    def start(self):
-        program = str(fleet.BIN / "buckthornford-platform-node")
-        environment = dict(os.environ, BUCKTHORNFORD_NODE_FILE=str(self.file))
-        self.process = subprocess.Popen([program], env=environment, stdout=self.log,
-                                        stderr=self.log)
-
-    def kill(self):
-        self.process.kill()
-        self.process.wait()
-
-    def is_ready(self):
-        return fleet.http("GET", f"127.0.0.1:{self.readiness}", "/readyz", timeout=1)[0] == 200
-
-
-class PlatformPath(unittest.TestCase):
-    def setUp(self):
-        self.folder = tempfile.TemporaryDirectory()
-        ports = Ports(22500 + (os.getpid() % 500) * 8)
-        store_port = ports.take()
-        self.store = Store(store_port)
-        self.store.put_configuration(configuration(3, [SAFE, UNSAFE], ["tracker", "affirmer"]))
-        store_address = f"127.0.0.1:{store_port}"
-        self.nodes = [
-            Node(f"{service}-{zone}", zone, service, ports, store_address, [], self.folder.name)
-            for service in ("tracker", "affirmer")
-            for zone in ("a", "b")
-        ]
-        for node in self.nodes:
-            node.start()
-        self.sends_heartbeats = True
-        self.heartbeat_thread = threading.Thread(target=self.send_heartbeats, daemon=True)
-        self.heartbeat_thread.start()
-        self.request_count = 0
-        for node in self.nodes:
-            fleet.wait_until(node.is_ready, 10, "readiness")
-        fleet.wait_until(lambda: self.serves_everywhere(), 10, "every node to serve requests")
-
-    def tearDown(self):
-        self.sends_heartbeats = False
-        self.heartbeat_thread.join()
-        for node in self.nodes:
-            if node.process.poll() is None:
-                node.kill()
-            node.log.close()
-            node.upstream.stop()
-        self.store.server.shutdown()
-        self.store.server.server_close()
-        self.folder.cleanup()
-
-    def send_heartbeats(self):
-        while self.sends_heartbeats:
-            for node in self.nodes:
-                try:
-                    node.upstream.send_heartbeat()
-                except OSError:
-                    pass  # The node is down at this moment.
-            time.sleep(0.2)
-
-    def send_request(self, node, path, method="GET", body=None, timeout_ms=2000):
-        """Sends one request. Returns (status, headers, body, request id)."""
-        self.request_count += 1
-        request = f"q{self.request_count}"
-        headers = {"Host": "swap.example", "X-Request-Id": request,
-                   "X-Deadline-Ms": str(timeout_ms)}
-        status, fields, answer = fleet.http(method, f"127.0.0.1:{node.outbound}", path, body,
-                                            headers)
-        return status, fields, answer, request
-
-    def serves_everywhere(self):
-        return all(
-            self.send_request(node, path)[0] == 200 for node in self.nodes
-            for path in ("/status/x", "/affirm/x")
-        )
-
-    def executions_of(self, request):
-        return [execution for node in self.nodes for execution in node.upstream.executions
-                if execution[0] == request]
+class PlatformPath(PlatformTestCase):
+    first_port = 22500 + (os.getpid() % 500) * 8
 
     def test_a_request_is_served_unchanged(self):
         status, fields, answer, request = self.send_request(self.nodes[0], "/affirm/7?x=1", "POST",
