Failing test: requests taken long after SIGTERM are cut

A node gets SIGTERM while callers send it a request every 0.1 s on new connections; the upstreams work 1.8 s. Every request that ran must get its upstream's answer, those of the first two seconds (before callers can have left) must be served, and what is refused must not have run. The stand-in of the upstream now stops work at the deadline that it receives, as the users' protocol says.

--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -178,6 +178,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.work_s = 0.0
+        self.padding = b""  # follows the text of each answer
         self.state = "ready"
         self.fault = None  # is called with the handler; true if it has ended the request
         self.executions = []
@@ -196,11 +197,16 @@
                     return
                 upstream.executions.append((request_id, self.command, self.path, body,
                                             dict(self.headers)))
-                time.sleep(upstream.work_s)
+                time_left_s = int(self.headers["X-Deadline-Ms"]) / 1000
+                time.sleep(min(upstream.work_s, time_left_s))
                 signed = echo + [("X-Server-Signature", "sig-" + request_id),
                                  ("X-Server-Load", "1,0,8,100")]
                 try:
-                    self.reply(200, b"answer to " + request_id.encode(), signed)
+                    if upstream.work_s > time_left_s:
+                        self.reply(504, b"deadline", signed)
+                    else:
+                        self.reply(200, b"answer to " + request_id.encode() + upstream.padding,
+                                   signed)
                 except OSError:
                     upstream.unsent.append(request_id)
 
--- /dev/null
+++ b/tests/integration/test_planned_stops.py
@@ -0,0 +1,86 @@
+"""Nodes are stopped while callers go on to send requests to them."""
+
+import http.client
+import os
+import pathlib
+import signal
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from platform_nodes import SERVICES, PlatformTestCase, configuration, fleet  # noqa: E402
+
+GRACE_S = 6.0  # as GraceS of the settings
+# Callers send their requests elsewhere once two readiness checks, a second apart, have failed.
+CALLERS_LEAVE_S = 2.0
+ROUTES = [("swap.example", "/status/", "safe", "tracker", 2500),
+          ("swap.example", "/affirm/", "unsafe", "affirmer", 3000)]
+
+
+class Request(threading.Thread):
+    """One caller's request on a connection of its own."""
+
+    def __init__(self, node, number, sent_s):
+        super().__init__()
+        self.address = f"127.0.0.1:{node.outbound}"
+        self.id = f"s{number}"
+        self.sent_s = sent_s  # after the stop signal
+        self.status = self.signature = None
+        self.error = ""
+        self.start()
+
+    def run(self):
+        headers = {"Host": "swap.example", "X-Request-Id": self.id, "X-Deadline-Ms": "6000"}
+        try:
+            self.status, fields, _ = fleet.http("POST", self.address, "/affirm/x", b"amount=1",
+                                                headers, timeout=10)
+            self.signature = fields["X-Server-Signature"]
+        except (OSError, http.client.HTTPException) as error:
+            self.error = repr(error)
+
+    def __str__(self):
+        return f"{self.id}, sent {self.sent_s:.2f} s after SIGTERM: {self.status} {self.error}"
+
+
+class PlannedStops(PlatformTestCase):
+    first_port = 28000 + (os.getpid() % 100) * 32
+
+    def setUp(self):
+        super().setUp()
+        self.store.put_configuration(configuration(5, ROUTES, SERVICES))
+        time.sleep(0.5)
+
+    def send_until_stopped(self, node, interval_s):
+        """Stops `node` and sends requests to it until the process has ended."""
+        start = time.monotonic()
+        node.process.send_signal(signal.SIGTERM)
+        requests = []
+        while node.process.poll() is None and time.monotonic() - start < 2 * GRACE_S:
+            requests.append(Request(node, len(requests), time.monotonic() - start))
+            time.sleep(interval_s)
+        self.assertEqual(node.process.wait(timeout=1), 0)
+        self.assertLess(time.monotonic() - start, GRACE_S)
+        for request in requests:
+            request.join()
+        return requests
+
+    def test_requests_taken_long_after_sigterm_are_answered(self):
+        for node in self.nodes:
+            node.upstream.work_s = 1.8
+        requests = self.send_until_stopped(self.nodes[0], 0.1)
+        ran = {request.id for request in requests if self.executions_of(request.id)}
+        lost = [str(request) for request in requests
+                if request.id in ran and request.signature is None]
+        self.assertEqual(lost, [])
+        unserved = [str(request) for request in requests
+                    if request.sent_s < CALLERS_LEAVE_S and request.status != 200]
+        self.assertEqual(unserved, [])
+        refused = [request for request in requests if request.id not in ran and not request.error]
+        self.assertEqual({request.status for request in refused}, {503})
+
+
+if __name__ == "__main__":
+    unittest.main()
