Take calls on a stopping node only if they can end before it does

Cause: a stopping node took every call for a fixed 0.7 of the grace time and then ended at a fixed time. That the call's own time limit (2.5 and 3 s on those routes) reached beyond the end of the process was never asked. Class of fault: work is accepted without regard to the time that is left to finish it.

Change: StopSchedule derives all times of a stop from the kill: by when executions end, by when answers are out, when the process ends. A call is taken while its latency objective (or its whole limit, where there is none) fits; its limit and that of its executions are cut to the schedule, so that the target stops by its own deadline and its answer comes back before the process ends. Other calls are refused as not run, at once. Calls of a running execution are taken: only this node can make them, and the execution's deadline bounds them. A job now waits 50 ms beyond its deadline for the upstream's own answer, which is sent at the deadline; without that the node closed the connection first and answered 504 itself.

Evidence: the log of the failing test showed requests taken at 3.4 to 4.2 s with a limit of 3 s, then "stopped" with reason grace-over, 7 open calls and 7 responses: hypothesis 1; nothing was idle (2), and the upstreams ran on (3).

--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -87,6 +87,11 @@
     return pick ? std::optional(pick.value().peer) : std::nullopt;
 }
 
+TimePoint CallDispatcher::executionDeadline(const Call &call)
+{
+    return std::min(call.deadline - answerMargin, call.executionsDueBy);
+}
+
 void CallDispatcher::send(Call *call, const PeerRef &peer, DispatchActions *actions, TimePoint now)
 {
     const bool hasCallersKey = !call->work.key.empty() && !call->hasGeneratedKey;
@@ -96,7 +101,7 @@
     run.attempt = AttemptNumber{++call->attemptCount};
     if (call->attemptCount > 1)
         ++m_retryCount;
-    run.timeLeft = call->deadline - now - answerMargin;
+    run.timeLeft = executionDeadline(*call) - now;
     run.age = now - call->chainStart;
     const bool keepsLastToken = hasCallersKey && call->budget.tokens() == Tokens{1};
     const bool lendsTokens = m_settings.policy.propagatesContext && !keepsLastToken;
@@ -199,7 +204,7 @@
             = answer.outcome != Outcome::Completed && !call->openAttempts.empty();
     if (waitsForOtherAttempt)
         return;
-    const bool isTooLate = call->deadline <= now + answerMargin;
+    const bool isTooLate = executionDeadline(*call) <= now;
     if (choice == RetryChoice::Stop || isTooLate || !tryAcquireRetry(call, choice, answer)) {
         finishCall(call, std::move(answer), actions, now, wall);
         return;
@@ -309,7 +314,7 @@
 void CallDispatcher::hedge(Call *call, DispatchActions *actions, TimePoint now)
 {
     const bool mayHedge = call->openAttempts.size() == 1 && m_hedgeCredit >= 1.0
-                          && call->budget.tokens() > Tokens{0};
+                          && call->budget.tokens() > Tokens{0} && executionDeadline(*call) > now;
     if (!mayHedge)
         return;
     const Result<Pick> pick = m_balancer->pick(makePickRequest(*call), now);
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -133,6 +133,7 @@
     call.work = std::move(request.work);
     call.chainStart = now;
     call.deadline = now;
+    call.executionsDueBy = request.executionsDueBy;
     call.startWallTime = wall;
     const bool hasContext = m_settings.policy.propagatesContext && request.parent;
     if (hasContext)
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -29,6 +29,8 @@
     std::optional<ExecutionId> parent; ///< the execution at this node's upstream that made the call
     bool isFromUpstream = false;
     std::optional<TraceContext> trace;
+    /// When executions for the call have to end, if that is earlier than the call's deadline asks.
+    TimePoint executionsDueBy = TimePoint::max();
 };
 
 /// How a call ended.
@@ -197,6 +199,7 @@
         Work work;
         TimePoint chainStart; ///< when the first request of the call chain arrived
         TimePoint deadline;
+        TimePoint executionsDueBy = TimePoint::max(); ///< CallRequest::executionsDueBy
         Rank rank;
         double spillShare = 0.0;
         double hedgeShare = 0.0;
@@ -250,6 +253,8 @@
     void sendByKey(Call *call, DispatchActions *actions, TimePoint now, WallTime wall);
     void sendToPickedTarget(Call *call, DispatchActions *actions, TimePoint now, WallTime wall);
     void send(Call *call, const PeerRef &peer, DispatchActions *actions, TimePoint now);
+    /// Returns by when an execution for \a call has to end.
+    static TimePoint executionDeadline(const Call &call);
     /// Returns the node to which \a target may move the caller's key if it refuses the run.
     std::optional<PeerRef> findAlternate(const Call &call, const PeerRef &target, TimePoint now);
     /// Sends a second attempt beside the open one, if hedge credit and retry budget allow it.
--- a/src/proxy/node_policy.cpp
+++ b/src/proxy/node_policy.cpp
@@ -23,9 +23,6 @@
 /// until no queued request may start any more.
 constexpr double drainPropagationShare = 0.3;
 constexpr double queueDrainShare = 0.8;
-/// Share of the stop's grace period after which new calls are refused, so that running ones end
-/// within the rest.
-constexpr double stopRefusalShare = 0.7;
 
 } // namespace
 
@@ -52,7 +49,6 @@
     proxy.retrySlack = settings.retrySlack * dispatchRetryShare;
     proxy.queueDrainTimeout = scaled(settings.drainTimeout, queueDrainShare);
     proxy.drainPropagationDelay = scaled(settings.drainTimeout, drainPropagationShare);
-    proxy.stopRefusalDelay = scaled(settings.stopGracePeriod, stopRefusalShare);
     proxy.seed = seed;
     return proxy;
 }
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -86,10 +86,6 @@
         refuseCall(id, call, Error::NoConfiguration, now);
         return;
     }
-    if (m_stopTime && now - *m_stopTime > m_settings.stopRefusalDelay) {
-        refuseCall(id, call, Error::TargetLeaving, now);
-        return;
-    }
     const Route *route = configuration->document.routes.find(call.host, call.path);
     if (route == nullptr) {
         refuseCall(id, call, Error::NoRoute, now);
@@ -101,18 +97,43 @@
     work.className = route->className;
     work.idempotent = route->isIdempotent;
     work.caller = CallerName{m_settings.callerService.value()};
-    m_callerRequestIds.emplace(id, call.callerRequestId);
     if (const auto parent = m_runningByCallerRequestId.find(call.parentRequestId);
         parent != m_runningByCallerRequestId.end())
         call.request.parent = parent->second;
     const Duration timeout = route->timeout;
     call.request.timeout = std::min(call.request.timeout.value_or(timeout), timeout);
-    if (m_stopTime)
+    if (m_stop) {
+        if (!fitIntoStop(&call.request, *route, configuration->document.activePreset(), now)) {
+            refuseCall(id, call, Error::TargetLeaving, now);
+            return;
+        }
         logCallTakenWhileStopping(call, *call.request.timeout, now);
+    }
+    m_callerRequestIds.emplace(id, call.callerRequestId);
     carryOut(m_dispatcher.startCall(id, std::move(call.request), m_history, now, unusedWallTime),
              now);
 }
 
+/// Limits \a request to the time that the stop leaves. Returns false if that is too little: the
+/// call is then to be refused, so that it may run elsewhere.
+bool ProxyTask::fitIntoStop(CallRequest *request, const Route &route, const Preset &preset,
+                            TimePoint now) const
+{
+    const ClassRule *rule = preset.findClass(route.className);
+    const Duration expected = rule == nullptr ? Duration{0} : rule->objective;
+    // A call of a running execution can only be made here, and the execution's deadline limits it.
+    const bool isTaken
+            = request->parent || m_stop->hasTimeFor(expected, request->timeout.value(), now);
+    request->timeout = std::min(request->timeout.value(), m_stop->answersDueBy() - now);
+    request->executionsDueBy = m_stop->executionsDueBy();
+    return isTaken && request->timeout > Duration{0};
+}
+
+Duration ProxyTask::sinceStop(TimePoint now) const
+{
+    return m_stop ? now - m_stop->signalTime() : Duration{0};
+}
+
 void ProxyTask::refuseCall(RequestId id, const IncomingCall &call, Error reason, TimePoint now)
 {
     if (m_callbacks.log->tryAcquire(LogCategory::Problem, now))
@@ -234,10 +255,9 @@
     m_settings.callerService = message.callerService;
 }
 
-void ProxyTask::on(StopRequest &&, TimePoint now)
+void ProxyTask::on(StopRequest &&message, TimePoint)
 {
-    if (!m_stopTime)
-        m_stopTime = now;
+    m_stop = message.schedule;
     publishStatus();
 }
 
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -7,6 +7,7 @@
 #include "link/link.h"
 #include "mesh/mesh.h"
 #include "proxy/adapter.h"
+#include "proxy/stop_schedule.h"
 #include "telemetry/telemetry.h"
 
 #include <functional>
@@ -102,7 +103,9 @@
 
 /// The process has been told to stop.
 struct StopRequest
-{};
+{
+    StopSchedule schedule;
+};
 
 using ProxyMessage
         = std::variant<CallArrived, CallerDisconnected, PeerFrameArrived, PeerStreamEnded,
@@ -146,8 +149,6 @@
     Duration drainPropagationDelay{std::chrono::milliseconds(700)};
     /// From the start of a drain until queued requests are refused.
     Duration queueDrainTimeout{std::chrono::milliseconds(2000)};
-    /// From the stop request until new calls are refused, so that open ones end before the kill.
-    Duration stopRefusalDelay{std::chrono::milliseconds(4200)};
     std::uint64_t seed = 1;
 };
 
@@ -158,7 +159,7 @@
               ProxyCallbacks callbacks);
 
     /// Returns whether callers may send requests to this node.
-    bool isReady() const { return !m_stopTime && m_history.newest() != nullptr; }
+    bool isReady() const { return !m_stop && m_history.newest() != nullptr; }
 
     /// Returns whether no call and no execution is open, so that a stop interrupts none.
     bool isIdle() const { return m_dispatcher.openCalls() == 0 && m_admission.isIdle(); }
@@ -205,7 +206,9 @@
     void logAttempt(const InstanceId &target, const Answer &answer, TimePoint now);
     void logUpstreamEvent(std::string_view event, TimePoint now);
     void logCallTakenWhileStopping(const IncomingCall &call, Duration timeout, TimePoint now);
-    Duration sinceStop(TimePoint now) const { return m_stopTime ? now - *m_stopTime : Duration{0}; }
+    Duration sinceStop(TimePoint now) const;
+    bool fitIntoStop(CallRequest *request, const Route &route, const Preset &preset,
+                     TimePoint now) const;
     std::string_view callerRequestIdOf(RequestId id) const;
     void refuseCall(RequestId id, const IncomingCall &call, Error reason, TimePoint now);
     void runLocally(const RunRequest &run, ReplyTo from, TimePoint now);
@@ -232,7 +235,7 @@
     ServiceChooser m_chooser;
     std::optional<UpstreamAnnouncement> m_upstream; ///< newest report of the current instance
     std::optional<TimePoint> m_upstreamDrainStart;  ///< when the upstream's drain started
-    std::optional<TimePoint> m_stopTime;            ///< when the process was told to stop
+    std::optional<StopSchedule> m_stop;             ///< set once the process was told to stop
     std::optional<NodeStatus> m_publishedStatus;
     std::unordered_map<ExecutionId, Work> m_runningWork; ///< of the executions in progress
     /// Executions in progress, by the id that the caller gave the request.
--- a/src/proxy/proxy_upstream.cpp
+++ b/src/proxy/proxy_upstream.cpp
@@ -97,7 +97,7 @@
     if (isSame && m_upstreamDrainStart)
         return; // An upstream that has announced its drain serves again only after a restart.
     m_upstreamDrainStart.reset();
-    if (!m_stopTime)
+    if (!m_stop)
         m_admission.stopDraining();
     m_callbacks.upstream(UpstreamChanged{
             {announcement.id,
@@ -125,13 +125,13 @@
 /// timeout.
 void ProxyTask::advanceDrain(TimePoint now)
 {
-    const std::optional<TimePoint> drainStart
-            = m_upstreamDrainStart ? m_upstreamDrainStart : m_stopTime;
-    if (!drainStart)
+    if (!m_upstreamDrainStart && !m_stop)
         return;
-    if (now - *drainStart >= m_settings.drainPropagationDelay)
+    const TimePoint drainStart
+            = m_upstreamDrainStart.value_or(m_stop ? m_stop->signalTime() : TimePoint::max());
+    if (now - drainStart >= m_settings.drainPropagationDelay)
         m_admission.startDraining();
-    if (now - *drainStart >= m_settings.queueDrainTimeout && m_admission.queued() > 0)
+    if (now - drainStart >= m_settings.queueDrainTimeout && m_admission.queued() > 0)
         carryOut(m_admission.refuseQueued(Error::TargetLeaving), now);
 }
 
@@ -168,7 +168,7 @@
 
 MemberState ProxyTask::state() const
 {
-    if (m_upstreamDrainStart || m_stopTime)
+    if (m_upstreamDrainStart || m_stop)
         return MemberState::Leaving;
     return m_admission.hasUpstream() ? MemberState::Serving : MemberState::Joining;
 }
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -16,10 +16,6 @@
 
 constexpr Duration periodicWorkInterval = std::chrono::milliseconds(250);
 constexpr Duration settingsReloadInterval = std::chrono::seconds(2);
-/// Callers send their requests elsewhere only after two failed readiness checks a second apart.
-constexpr Duration minStopDuration = std::chrono::milliseconds(2600);
-/// Time before the end of the grace period (the kill) at which the node stops in any case.
-constexpr Duration stopMargin = std::chrono::milliseconds(700);
 
 /// Responds to HTTP requests at once, without waiting for a task; used for readiness, announcements
 /// and metrics.
@@ -100,7 +96,7 @@
             [this](const ServerRequest &request) { return metricsResponse(request); }};
     Endpoint upstreamEndpoint;
     Revision acceptedRevision;
-    std::optional<TimePoint> stopTime;
+    std::optional<StopSchedule> stop;
     TimePoint nextSettingsReload;
 };
 
@@ -335,16 +331,17 @@
         readSettings();
     }
     log.flush();
-    if (stopTime) {
-        const Duration elapsed = now - *stopTime;
-        const bool isDone = elapsed >= minStopDuration && proxy->isIdle();
-        if (isDone || elapsed >= settings.stopGracePeriod - stopMargin) {
+    TimePoint next = now + periodicWorkInterval;
+    if (stop) {
+        const bool isDone = now >= stop->earliestEnd() && proxy->isIdle();
+        if (isDone || now >= stop->latestEnd()) {
             logStopped(isDone, now);
             loop.stop();
             return;
         }
+        next = std::min(next, stop->latestEnd());
     }
-    timer.expires_after(periodicWorkInterval);
+    timer.expires_at(next);
     timer.async_wait([this](const boost::system::error_code &error) {
         if (!error)
             runPeriodicWork();
@@ -354,10 +351,10 @@
 void ServiceNode::Private::startStop()
 {
     const TimePoint now = monotonicNow();
-    stopTime = now;
+    stop = StopSchedule::startingAt(now, settings.stopGracePeriod);
     log.write(LogCategory::Process, "stopping", {{"instance", settings.instance.value()}}, now);
     callerServer->post(DrainConnections{});
-    proxy->post(StopRequest{});
+    proxy->post(StopRequest{*stop});
     if (store)
         store->post(DeregisterSelf{});
 }
@@ -369,7 +366,7 @@
     log.write(LogCategory::Process, "stopped",
               {{"instance", settings.instance.value()},
                {"reason", isIdle ? "idle" : "grace-over"},
-               {"since_stop_ms", toMilliseconds(now - *stopTime)},
+               {"since_stop_ms", toMilliseconds(now - stop->signalTime())},
                {"open_calls", static_cast<std::int64_t>(proxy->openCalls())},
                {"executions", static_cast<std::int64_t>(proxy->runningExecutions())},
                {"responses", static_cast<std::int64_t>(callerServer->unansweredCount())},
@@ -409,7 +406,7 @@
                         return;
                     if (signal == SIGHUP)
                         m_d->readSettings();
-                    else if (!m_d->stopTime)
+                    else if (!m_d->stop)
                         m_d->startStop();
                     awaitSignal();
                 });
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -16,8 +16,9 @@
 constexpr double keepAliveShare = 0.6;
 /// Longest time between two searches for idle connections to close.
 constexpr Duration idleCheckInterval = std::chrono::milliseconds(500);
-/// How long after the deadline of a job the task wakes to end it.
-constexpr Duration deadlineCheckDelay = std::chrono::milliseconds(20);
+/// How long after the deadline of a job the upstream's own answer, which it sends at the deadline,
+/// may arrive before the job is ended without one.
+constexpr Duration lateAnswerAllowance = std::chrono::milliseconds(50);
 
 UpstreamResult::End toResultEnd(UpstreamCodec::ResponseKind kind)
 {
@@ -80,10 +81,10 @@
     std::vector<ExecutionId> expired;
     TimePoint next = now + idleCheckInterval;
     for (const auto &[id, job] : m_jobs) {
-        if (job.deadline <= now)
+        if (job.deadline + lateAnswerAllowance <= now)
             expired.push_back(id);
         else
-            next = std::min(next, job.deadline + deadlineCheckDelay);
+            next = std::min(next, job.deadline + lateAnswerAllowance);
     }
     for (const ExecutionId id : expired)
         endJob(id, UpstreamResult::End::TimedOut, now);
@@ -119,7 +120,7 @@
     const auto connection = takeConnection(isIdempotent, now);
     m_jobs.insert_or_assign(job.execution,
                             Job{connection, m_identity, now, job.deadline, isIdempotent});
-    wakeBy(job.deadline + deadlineCheckDelay);
+    wakeBy(job.deadline + lateAnswerAllowance);
     connection->exchange(m_identity.address,
                          m_codec->makeRequest(job.run, m_identity, job.deadline - now),
                          [this, execution = job.execution](ClientResponse response) {
