Failing test: a call open at the end of the grace period gets no answer

A call taken before SIGTERM whose upstream works longer than the grace period: its caller is owed an answer that says the outcome is unknown.

--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -23,17 +23,19 @@
 class Request(threading.Thread):
     """One caller's request on a connection of its own."""
 
-    def __init__(self, node, number, sent_s):
+    def __init__(self, node, number, sent_s, deadline_ms=6000):
         super().__init__()
         self.address = f"127.0.0.1:{node.outbound}"
         self.id = f"s{number}"
+        self.deadline_ms = deadline_ms
         self.sent_s = sent_s  # after the stop signal
         self.status = self.signature = None
         self.error = ""
         self.start()
 
     def run(self):
-        headers = {"Host": "swap.example", "X-Request-Id": self.id, "X-Deadline-Ms": "6000"}
+        headers = {"Host": "swap.example", "X-Request-Id": self.id,
+                   "X-Deadline-Ms": str(self.deadline_ms)}
         try:
             self.status, fields, _ = fleet.http("POST", self.address, "/affirm/x", b"amount=1",
                                                 headers, timeout=10)
@@ -81,6 +83,19 @@
         refused = [request for request in requests if request.id not in ran and not request.error]
         self.assertEqual({request.status for request in refused}, {503})
 
+    def test_a_request_that_outlasts_the_grace_period_gets_an_answer(self):
+        slow = ("swap.example", "/affirm/", "unsafe", "affirmer", 9000)
+        self.store.put_configuration(configuration(7, [ROUTES[0], slow], SERVICES))
+        time.sleep(0.5)
+        for node in self.nodes:
+            node.upstream.work_s = 7.0
+        request = Request(self.nodes[0], 0, -0.3, deadline_ms=9000)
+        time.sleep(0.3)
+        self.nodes[0].process.send_signal(signal.SIGTERM)
+        request.join()
+        self.assertEqual((request.status, request.error), (504, ""))
+        self.assertEqual(self.nodes[0].process.wait(timeout=GRACE_S), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
