Answer calls that are still open when a stopping node's time is up

What callers saw: a closed connection, for requests taken before SIGTERM that outlast the grace time.

Cause: the process ended with these calls in its table; nothing ended them.

Change: the stop request brings the deadlines of open calls forward to the schedule's answersDueBy(), and bars attempts that couldn't end by executionsDueBy(). Such a call ends with its outcome unknown (504) while there is still time to write that.

--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -205,6 +205,17 @@
     return actions;
 }
 
+void CallDispatcher::endCallsBy(TimePoint callsDueBy, TimePoint executionsDueBy)
+{
+    for (auto &[id, call] : m_calls) {
+        call.executionsDueBy = std::min(call.executionsDueBy, executionsDueBy);
+        if (call.deadline <= callsDueBy)
+            continue;
+        call.deadline = callsDueBy;
+        m_timers.emplace(callsDueBy, Timer{id, true});
+    }
+}
+
 TimePoint CallDispatcher::nextWake(TimePoint otherwise) const
 {
     return m_timers.empty() ? otherwise : std::min(otherwise, m_timers.begin()->first);
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -149,6 +149,10 @@
     /// Ends calls whose deadline has passed and sends the hedges that are due.
     DispatchActions tick(TimePoint now, WallTime wall);
 
+    /// Brings the deadlines of all open calls forward to \a callsDueBy at the latest, and those of
+    /// their further attempts to \a executionsDueBy, because the node stops.
+    void endCallsBy(TimePoint callsDueBy, TimePoint executionsDueBy);
+
     /// Returns when tick() is due next, at the latest \a otherwise.
     TimePoint nextWake(TimePoint otherwise) const;
 
--- a/src/dispatch/tests/test_placement.cpp
+++ b/src/dispatch/tests/test_placement.cpp
@@ -287,3 +287,32 @@
     BOOST_TEST(repeats <= 2 + executions * callsEach / 10);
     BOOST_TEST(repeats >= executions * callsEach * 9 / 100);
 }
+
+BOOST_FIXTURE_TEST_CASE(openCallsEndUnknownWhenTheTimeOfAStopIsUp, PlatformPolicyFixture)
+{
+    BOOST_TEST(findSend(startCall(false)) != nullptr);
+    const TimePoint callsDueBy = start + std::chrono::milliseconds(400);
+    dispatcher->endCallsBy(callsDueBy, callsDueBy - std::chrono::milliseconds(150));
+    BOOST_TEST(dispatcher->tick(callsDueBy - std::chrono::milliseconds(1), noWall).empty());
+    const DispatchActions actions = dispatcher->tick(callsDueBy, noWall);
+    const CallResult *result = findResult(actions);
+    BOOST_REQUIRE(result != nullptr);
+    BOOST_TEST((result->answer.outcome == Outcome::Unknown));
+    BOOST_TEST(dispatcher->openCalls() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(noRetryStartsThatCannotEndBeforeTheStop, PlatformPolicyFixture)
+{
+    const DispatchActions sent = startCall(true);
+    const SendRun *run = findSend(sent);
+    BOOST_REQUIRE(run != nullptr);
+    const TimePoint executionsDueBy = start + std::chrono::milliseconds(200);
+    dispatcher->endCallsBy(executionsDueBy + std::chrono::milliseconds(150), executionsDueBy);
+    Answer failed = makeRefusal(run->run, Error::UpstreamFailed, true);
+    failed.outcome = Outcome::Failed;
+    failed.reachedUpstream = true;
+    const DispatchActions actions
+            = dispatcher->onAnswer(run->to.instance, failed, executionsDueBy, noWall);
+    BOOST_TEST(findSend(actions) == nullptr);
+    BOOST_TEST(findResult(actions) != nullptr);
+}
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -258,6 +258,7 @@
 void ProxyTask::on(StopRequest &&message, TimePoint)
 {
     m_stop = message.schedule;
+    m_dispatcher.endCallsBy(m_stop->answersDueBy(), m_stop->executionsDueBy());
     publishStatus();
 }
 
