--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import threading
 import time
@@ -16,6 +17,9 @@
 GRACE_S = 6.0  # as GraceS of the settings
 # Callers send their requests elsewhere once two readiness checks, a second apart, have failed.
 CALLERS_LEAVE_S = 2.0
+# A caller that reads nothing for so long, more than an idle node takes to stop, still has time left
+# to read its response before the kill.
+SLOW_CALLER_S = 3.5
 ROUTES = [("swap.example", "/status/", "safe", "tracker", 2500),
           ("swap.example", "/affirm/", "unsafe", "affirmer", 3000)]
 
@@ -96,6 +100,26 @@
         self.assertEqual((request.status, request.error), (504, ""))
         self.assertEqual(self.nodes[0].process.wait(timeout=GRACE_S), 0)
 
+    def test_a_response_that_is_being_written_is_not_cut_by_the_end_of_the_process(self):
+        size = 12 << 20  # more than the sockets' buffers hold
+        for node in self.nodes:
+            node.upstream.padding = b"x" * size
+        stopping = self.nodes[0]
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+            caller.settimeout(10)
+            caller.connect(("127.0.0.1", stopping.outbound))
+            caller.sendall(b"GET /status/x HTTP/1.1\r\nHost: swap.example\r\n"
+                           b"X-Request-Id: large\r\nX-Deadline-Ms: 2500\r\n\r\n")
+            received = caller.recv(1)
+            stopping.process.send_signal(signal.SIGTERM)
+            time.sleep(SLOW_CALLER_S)
+            while chunk := caller.recv(1 << 20):
+                received += chunk
+        self.assertEqual(received[:15], b"HTTP/1.1 200 OK")
+        self.assertGreater(len(received), size)
+        self.assertEqual(stopping.process.wait(timeout=GRACE_S), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
