End a stopped process only when its answers have been written

What callers saw or would see: a large response that ends in the middle when the node beside the caller is stopped; at the node beside the upstream, an answer that never leaves it, so that the caller's request ends unknown although it was served.

Cause: the process ended as soon as dispatcher and admission controller were idle. Bytes that the HTTP server or the streams to other nodes still held were not asked for.

Change: the node counts as idle only when no caller waits for the rest of a response and no incoming stream holds unsent frames; the end of the schedule bounds that as before.

--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -72,7 +72,8 @@
     void runPeriodicWork();
     void readSettings();
     void startStop();
-    void logStopped(bool isIdle, TimePoint now);
+    bool isIdle() const;
+    void logStopped(bool wasIdle, TimePoint now);
 
     ServiceNodeSettings settings;
     Adapter adapter;
@@ -333,7 +334,7 @@
     log.flush();
     TimePoint next = now + periodicWorkInterval;
     if (stop) {
-        const bool isDone = now >= stop->earliestEnd() && proxy->isIdle();
+        const bool isDone = now >= stop->earliestEnd() && isIdle();
         if (isDone || now >= stop->latestEnd()) {
             logStopped(isDone, now);
             loop.stop();
@@ -359,13 +360,20 @@
         store->post(DeregisterSelf{});
 }
 
+/// Returns whether nothing is in progress and all answers have been passed to their sockets.
+bool ServiceNode::Private::isIdle() const
+{
+    return proxy->isIdle() && callerServer->unansweredCount() == 0
+           && mesh->unsentStreamCount() == 0;
+}
+
 /// Logs why the process ends, with what it leaves open.
-void ServiceNode::Private::logStopped(bool isIdle, TimePoint now)
+void ServiceNode::Private::logStopped(bool wasIdle, TimePoint now)
 {
     proxy->logUnansweredCalls(now);
     log.write(LogCategory::Process, "stopped",
               {{"instance", settings.instance.value()},
-               {"reason", isIdle ? "idle" : "grace-over"},
+               {"reason", wasIdle ? "idle" : "grace-over"},
                {"since_stop_ms", toMilliseconds(now - stop->signalTime())},
                {"open_calls", static_cast<std::int64_t>(proxy->openCalls())},
                {"executions", static_cast<std::int64_t>(proxy->runningExecutions())},
