--- a/src/preset/preset.cpp
+++ b/src/preset/preset.cpp
@@ -17,6 +17,12 @@
     return found == classes.end() ? nullptr : &*found;
 }
 
+Duration Preset::objectiveOf(const ClassName &className) const
+{
+    const ClassRule *rule = findClass(className);
+    return rule == nullptr ? Duration{0} : rule->objective;
+}
+
 const ClassRule &Preset::lowestPriorityClass() const
 {
     return *std::max_element(classes.begin(), classes.end(),
--- a/src/preset/preset.h
+++ b/src/preset/preset.h
@@ -51,6 +51,9 @@
     /// Returns the rule of \a name or nullptr.
     const ClassRule *findClass(const ClassName &name) const;
 
+    /// Returns the latency objective of \a className; zero if it has none.
+    Duration objectiveOf(const ClassName &className) const;
+
     /// Returns the class with the highest rank number, which applies to requests that name none.
     const ClassRule &lowestPriorityClass() const;
 };
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -119,11 +119,10 @@
 bool ProxyTask::fitIntoStop(CallRequest *request, const Route &route, const Preset &preset,
                             TimePoint now) const
 {
-    const ClassRule *rule = preset.findClass(route.className);
-    const Duration expected = rule == nullptr ? Duration{0} : rule->objective;
     // A call of a running execution can only be made here, and the execution's deadline limits it.
-    const bool isTaken
-            = request->parent || m_stop->hasTimeFor(expected, request->timeout.value(), now);
+    const bool isTaken = request->parent
+                         || m_stop->hasTimeFor(preset.objectiveOf(route.className),
+                                               request->timeout.value(), now);
     request->timeout = std::min(request->timeout.value(), m_stop->answersDueBy() - now);
     request->executionsDueBy = m_stop->executionsDueBy();
     return isTaken && request->timeout > Duration{0};
@@ -183,9 +182,10 @@
 void ProxyTask::on(IncomingFrameArrived &&message, TimePoint now)
 {
     wakeBy(now + tickInterval);
-    if (const auto *run = std::get_if<RunRequest>(&message.frame))
-        runLocally(*run, {message.stream.value(), run->request, run->attempt}, now);
-    else if (const auto *cancel = std::get_if<Cancel>(&message.frame))
+    if (auto *run = std::get_if<RunRequest>(&message.frame)) {
+        const ReplyTo from{message.stream.value(), run->request, run->attempt};
+        runLocally(std::move(*run), from, now);
+    } else if (const auto *cancel = std::get_if<Cancel>(&message.frame))
         carryOut(
                 m_admission.cancel({message.stream.value(), cancel->request, cancel->attempt}, now),
                 now);
@@ -292,10 +292,12 @@
 
 void ProxyTask::carryOut(SendRun &&action, TimePoint now)
 {
-    if (action.to.instance == m_settings.self.instance)
-        runLocally(action.run, {localStream, action.run.request, action.run.attempt}, now);
-    else
+    if (action.to.instance != m_settings.self.instance) {
         m_callbacks.mesh(SendToPeer{std::move(action.to), std::move(action.run)});
+        return;
+    }
+    const ReplyTo from{localStream, action.run.request, action.run.attempt};
+    runLocally(std::move(action.run), from, now);
 }
 
 void ProxyTask::carryOut(SendCancel &&action, TimePoint now)
--- /dev/null
+++ b/src/proxy/tests/test_proxy_task.cpp
@@ -0,0 +1,126 @@
+#define BOOST_TEST_MODULE proxy_task
+#include "proxy/proxy_task.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace buckthornford;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration gracePeriod = 6s;
+constexpr Duration objective = 1s;
+const ServiceName service{"affirmer"};
+
+class FakeCallerCodec : public CallerCodec
+{
+public:
+    std::optional<ServerResponse> read(ServerRequest, IncomingCall *) const override
+    {
+        return std::nullopt;
+    }
+    ServerResponse makeResponse(RequestId id, Answer) const override
+    {
+        ServerResponse response;
+        response.id = id;
+        return response;
+    }
+    std::string_view callerRequestId(const HttpHeaders &) const override { return "request"; }
+};
+
+Configuration makeConfiguration()
+{
+    Preset preset;
+    preset.name = PresetName{"only"};
+    preset.classes = {{ClassName{"class"}, Rank{0}, Tokens{0}, std::chrono::seconds(5), objective}};
+    Configuration configuration;
+    configuration.revision = Revision{1};
+    configuration.document.activePresetName = preset.name;
+    configuration.document.presets.emplace(preset.name, preset);
+    return configuration;
+}
+
+/// A proxy task with an upstream that serves, as peers' dispatchers see it: runs come in on a
+/// stream and answers leave on it.
+struct UpstreamNode
+{
+    UpstreamNode()
+    {
+        ProxySettings settings;
+        settings.self = {InstanceId{"node"}, Incarnation{1}, ""};
+        settings.drainPropagationDelay = gracePeriod;
+        Adapter adapter;
+        adapter.callers = std::make_shared<FakeCallerCodec>();
+        ProxyCallbacks callbacks;
+        callbacks.respond = [](const ServerResponse &) {};
+        callbacks.mesh = [this](MeshMessage message) {
+            if (auto *sent = std::get_if<SendOnIncomingStream>(&message))
+                answers.push_back(std::get<Answer>(sent->frame));
+        };
+        callbacks.upstream = [this](UpstreamMessage message) {
+            if (auto *job = std::get_if<StartJob>(&message))
+                jobs.push_back(*job);
+        };
+        callbacks.probeUpstream = [] {};
+        callbacks.status = [](const NodeStatus &) {};
+        callbacks.poisonEvents = [](const PoisonEventsArrived &) {};
+        callbacks.log = &log;
+        task = std::make_unique<ProxyTask>(&loop, settings, adapter, callbacks);
+        task->post(ConfigurationChanged{makeConfiguration()});
+        UpstreamAnnouncement announcement;
+        announcement.id = "i-1";
+        announcement.service = service;
+        announcement.slots = Slots{8};
+        task->post(AnnouncementArrived{announcement});
+    }
+
+    void receiveRun(Duration timeLeft)
+    {
+        RunRequest run;
+        run.request = RequestId{1};
+        run.work.service = service;
+        run.work.className = ClassName{"class"};
+        run.timeLeft = timeLeft;
+        run.revision = Revision{1};
+        task->post(IncomingFrameArrived{StreamId{1}, run});
+        loop.run_for(50ms);
+    }
+
+    EventLoop loop{1};
+    EventLog log{EventLog::Settings{}};
+    std::unique_ptr<ProxyTask> task;
+    std::vector<Answer> answers;
+    std::vector<StartJob> jobs;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(aRunOnAStoppingNodeEndsBeforeTheNodeDoes, UpstreamNode)
+{
+    const StopSchedule schedule = StopSchedule::startingAt(monotonicNow(), gracePeriod);
+    task->post(StopRequest{schedule});
+    receiveRun(20s);
+    BOOST_REQUIRE(jobs.size() == 1);
+    BOOST_TEST((jobs.front().deadline <= schedule.executionsDueBy()));
+}
+
+BOOST_FIXTURE_TEST_CASE(aRunWithoutTimeOnAStoppingNodeIsRefusedAndMayGoElsewhere, UpstreamNode)
+{
+    const StopSchedule schedule
+            = StopSchedule::startingAt(monotonicNow() - gracePeriod + objective, gracePeriod);
+    task->post(StopRequest{schedule});
+    receiveRun(20s);
+    BOOST_TEST(jobs.empty());
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST((answers.front().outcome == Outcome::NotRun));
+    BOOST_TEST((answers.front().reason == Error::TargetLeaving));
+    BOOST_TEST(answers.front().retryable);
+}
+
+BOOST_FIXTURE_TEST_CASE(aRunOnAServingNodeKeepsItsTimeLimit, UpstreamNode)
+{
+    const TimePoint before = monotonicNow();
+    receiveRun(20s);
+    BOOST_REQUIRE(jobs.size() == 1);
+    BOOST_TEST((jobs.front().deadline >= before + 20s));
+}
