--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -86,10 +86,6 @@
         refuseCall(id, call, Error::NoConfiguration, now);
         return;
     }
-    if (m_stopTime && now - *m_stopTime > m_settings.stopRefusalDelay) {
-        refuseCall(id, call, Error::TargetLeaving, now);
-        return;
-    }
     const Route *route = configuration->document.routes.find(call.host, call.path);
     if (route == nullptr) {
         refuseCall(id, call, Error::NoRoute, now);
@@ -101,16 +97,42 @@
     work.className = route->className;
     work.idempotent = route->isIdempotent;
     work.caller = CallerName{m_settings.callerService.value()};
-    m_callerRequestIds.emplace(id, call.callerRequestId);
     if (const auto parent = m_runningByCallerRequestId.find(call.parentRequestId);
         parent != m_runningByCallerRequestId.end())
         call.request.parent = parent->second;
     const Duration timeout = route->timeout;
     call.request.timeout = std::min(call.request.timeout.value_or(timeout), timeout);
+    if (m_stop) {
+        if (!fitIntoStop(&call.request, *route, configuration->document.activePreset(), now)) {
+            refuseCall(id, call, Error::TargetLeaving, now);
+            return;
+        }
+        logCallTakenWhileStopping(call, *call.request.timeout, now);
+    }
+    m_callerRequestIds.emplace(id, call.callerRequestId);
     carryOut(m_dispatcher.startCall(id, std::move(call.request), m_history, now, unusedWallTime),
              now);
 }
 
+/// Limits \a request to the time that the stop leaves. Returns false if that is too little: the
+/// call is then to be refused, so that it may run elsewhere.
+bool ProxyTask::fitIntoStop(CallRequest *request, const Route &route, const Preset &preset,
+                            TimePoint now) const
+{
+    // A call of a running execution can only be made here, and the execution's deadline limits it.
+    const bool isTaken = request->parent
+                         || m_stop->hasTimeFor(preset.objectiveOf(route.className),
+                                               request->timeout.value(), now);
+    request->timeout = std::min(request->timeout.value(), m_stop->answersDueBy() - now);
+    request->executionsDueBy = m_stop->executionsDueBy();
+    return isTaken && request->timeout > Duration{0};
+}
+
+Duration ProxyTask::sinceStop(TimePoint now) const
+{
+    return m_stop ? now - m_stop->signalTime() : Duration{0};
+}
+
 void ProxyTask::refuseCall(RequestId id, const IncomingCall &call, Error reason, TimePoint now)
 {
     if (m_callbacks.log->tryAcquire(LogCategory::Problem, now))
@@ -160,9 +182,10 @@
 void ProxyTask::on(IncomingFrameArrived &&message, TimePoint now)
 {
     wakeBy(now + tickInterval);
-    if (const auto *run = std::get_if<RunRequest>(&message.frame))
-        runLocally(*run, {message.stream.value(), run->request, run->attempt}, now);
-    else if (const auto *cancel = std::get_if<Cancel>(&message.frame))
+    if (auto *run = std::get_if<RunRequest>(&message.frame)) {
+        const ReplyTo from{message.stream.value(), run->request, run->attempt};
+        runLocally(std::move(*run), from, now);
+    } else if (const auto *cancel = std::get_if<Cancel>(&message.frame))
         carryOut(
                 m_admission.cancel({message.stream.value(), cancel->request, cancel->attempt}, now),
                 now);
@@ -232,10 +255,10 @@
     m_settings.callerService = message.callerService;
 }
 
-void ProxyTask::on(StopRequest &&, TimePoint now)
+void ProxyTask::on(StopRequest &&message, TimePoint)
 {
-    if (!m_stopTime)
-        m_stopTime = now;
+    m_stop = message.schedule;
+    m_dispatcher.endCallsBy(m_stop->answersDueBy(), m_stop->executionsDueBy());
     publishStatus();
 }
 
@@ -269,10 +292,12 @@
 
 void ProxyTask::carryOut(SendRun &&action, TimePoint now)
 {
-    if (action.to.instance == m_settings.self.instance)
-        runLocally(action.run, {localStream, action.run.request, action.run.attempt}, now);
-    else
+    if (action.to.instance != m_settings.self.instance) {
         m_callbacks.mesh(SendToPeer{std::move(action.to), std::move(action.run)});
+        return;
+    }
+    const ReplyTo from{localStream, action.run.request, action.run.attempt};
+    runLocally(std::move(action.run), from, now);
 }
 
 void ProxyTask::carryOut(SendCancel &&action, TimePoint now)
--- a/src/proxy/proxy_upstream.cpp
+++ b/src/proxy/proxy_upstream.cpp
@@ -97,7 +97,7 @@
     if (isSame && m_upstreamDrainStart)
         return; // An upstream that has announced its drain serves again only after a restart.
     m_upstreamDrainStart.reset();
-    if (!m_stopTime)
+    if (!m_stop)
         m_admission.stopDraining();
     m_callbacks.upstream(UpstreamChanged{
             {announcement.id,
@@ -125,13 +125,13 @@
 /// timeout.
 void ProxyTask::advanceDrain(TimePoint now)
 {
-    const std::optional<TimePoint> drainStart
-            = m_upstreamDrainStart ? m_upstreamDrainStart : m_stopTime;
-    if (!drainStart)
+    if (!m_upstreamDrainStart && !m_stop)
         return;
-    if (now - *drainStart >= m_settings.drainPropagationDelay)
+    const TimePoint drainStart
+            = m_upstreamDrainStart.value_or(m_stop ? m_stop->signalTime() : TimePoint::max());
+    if (now - drainStart >= m_settings.drainPropagationDelay)
         m_admission.startDraining();
-    if (now - *drainStart >= m_settings.queueDrainTimeout && m_admission.queued() > 0)
+    if (now - drainStart >= m_settings.queueDrainTimeout && m_admission.queued() > 0)
         carryOut(m_admission.refuseQueued(Error::TargetLeaving), now);
 }
 
@@ -150,7 +150,7 @@
     m_callbacks.upstream(CancelJob{action.execution});
 }
 
-void ProxyTask::runLocally(const RunRequest &run, ReplyTo from, TimePoint now)
+void ProxyTask::runLocally(RunRequest run, ReplyTo from, TimePoint now)
 {
     const Configuration *configuration = m_history.findOrActive(run.revision, unusedWallTime);
     if (configuration == nullptr) {
@@ -161,14 +161,19 @@
         carryOut(Reply{from, makeRefusal(run, Error::UpstreamAbsent, true)}, now);
         return;
     }
-    carryOut(m_admission.submit(run, from, configuration->document.activePreset(), now,
-                                unusedWallTime),
-             now);
+    const Preset &preset = configuration->document.activePreset();
+    if (m_stop && !m_stop->hasTimeFor(preset.objectiveOf(run.work.className), run.timeLeft, now)) {
+        carryOut(Reply{from, makeRefusal(run, Error::TargetLeaving, true)}, now);
+        return;
+    }
+    if (m_stop)
+        run.timeLeft = std::min(run.timeLeft, m_stop->executionsDueBy() - now);
+    carryOut(m_admission.submit(run, from, preset, now, unusedWallTime), now);
 }
 
 MemberState ProxyTask::state() const
 {
-    if (m_upstreamDrainStart || m_stopTime)
+    if (m_upstreamDrainStart || m_stop)
         return MemberState::Leaving;
     return m_admission.hasUpstream() ? MemberState::Serving : MemberState::Joining;
 }
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -16,10 +16,6 @@
 
 constexpr Duration periodicWorkInterval = std::chrono::milliseconds(250);
 constexpr Duration settingsReloadInterval = std::chrono::seconds(2);
-/// Callers send their requests elsewhere only after two failed readiness checks a second apart.
-constexpr Duration minStopDuration = std::chrono::milliseconds(2600);
-/// Time before the end of the grace period (the kill) at which the node stops in any case.
-constexpr Duration stopMargin = std::chrono::milliseconds(700);
 
 /// Responds to HTTP requests at once, without waiting for a task; used for readiness, announcements
 /// and metrics.
@@ -76,6 +72,8 @@
     void runPeriodicWork();
     void readSettings();
     void startStop();
+    bool isIdle() const;
+    void logStopped(bool wasIdle, TimePoint now);
 
     ServiceNodeSettings settings;
     Adapter adapter;
@@ -99,7 +97,7 @@
             [this](const ServerRequest &request) { return metricsResponse(request); }};
     Endpoint upstreamEndpoint;
     Revision acceptedRevision;
-    std::optional<TimePoint> stopTime;
+    std::optional<StopSchedule> stop;
     TimePoint nextSettingsReload;
 };
 
@@ -334,15 +332,17 @@
         readSettings();
     }
     log.flush();
-    if (stopTime) {
-        const Duration elapsed = now - *stopTime;
-        const bool isDone = elapsed >= minStopDuration && proxy->isIdle();
-        if (isDone || elapsed >= settings.stopGracePeriod - stopMargin) {
+    TimePoint next = now + periodicWorkInterval;
+    if (stop) {
+        const bool isDone = now >= stop->earliestEnd() && isIdle();
+        if (isDone || now >= stop->latestEnd()) {
+            logStopped(isDone, now);
             loop.stop();
             return;
         }
+        next = std::min(next, stop->latestEnd());
     }
-    timer.expires_after(periodicWorkInterval);
+    timer.expires_at(next);
     timer.async_wait([this](const boost::system::error_code &error) {
         if (!error)
             runPeriodicWork();
@@ -352,14 +352,36 @@
 void ServiceNode::Private::startStop()
 {
     const TimePoint now = monotonicNow();
-    stopTime = now;
+    stop = StopSchedule::startingAt(now, settings.stopGracePeriod);
     log.write(LogCategory::Process, "stopping", {{"instance", settings.instance.value()}}, now);
     callerServer->post(DrainConnections{});
-    proxy->post(StopRequest{});
+    proxy->post(StopRequest{*stop});
     if (store)
         store->post(DeregisterSelf{});
 }
 
+/// Returns whether nothing is in progress and all answers have been passed to their sockets.
+bool ServiceNode::Private::isIdle() const
+{
+    return proxy->isIdle() && callerServer->unansweredCount() == 0
+           && mesh->unsentStreamCount() == 0;
+}
+
+/// Logs why the process ends, with what it leaves open.
+void ServiceNode::Private::logStopped(bool wasIdle, TimePoint now)
+{
+    proxy->logUnansweredCalls(now);
+    log.write(LogCategory::Process, "stopped",
+              {{"instance", settings.instance.value()},
+               {"reason", wasIdle ? "idle" : "grace-over"},
+               {"since_stop_ms", toMilliseconds(now - stop->signalTime())},
+               {"open_calls", static_cast<std::int64_t>(proxy->openCalls())},
+               {"executions", static_cast<std::int64_t>(proxy->runningExecutions())},
+               {"responses", static_cast<std::int64_t>(callerServer->unansweredCount())},
+               {"unsent_streams", static_cast<std::int64_t>(mesh->unsentStreamCount())}},
+              now);
+}
+
 Result<std::unique_ptr<ServiceNode>> ServiceNode::create(const ServiceNodeSettings &settings,
                                                          const Adapter &adapter,
                                                          SettingsReader reader)
@@ -392,7 +414,7 @@
                         return;
                     if (signal == SIGHUP)
                         m_d->readSettings();
-                    else if (!m_d->stopTime)
+                    else if (!m_d->stop)
                         m_d->startStop();
                     awaitSignal();
                 });
@@ -400,8 +422,6 @@
     awaitSignal();
     m_d->runPeriodicWork();
     m_d->loop.run();
-    m_d->log.write(LogCategory::Process, "stopped", {{"instance", m_d->settings.instance.value()}},
-                   monotonicNow());
     m_d->log.flush();
 }
 
