Follow the store into a new era

Cause: the store task took the store's versions for one ever-growing count. It kept the highest it had seen, so the next watch asked for changes after a version that the store didn't have (410, read, 410, ... without a pause) or had given out again (changes below it were never seen). Class of fault: a number is compared across two histories.

A response of an older era is dropped and its call made again. A newer era ends the watch in progress, whichever call noticed it, and what a watch of the old history says is not believed; the configuration is read again and the watch starts from that read's version. The version is the last response's, not the highest.

--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -50,7 +50,10 @@
 /// Id of one run of a request at an upstream, unique within the node beside that upstream.
 using ExecutionId = Strong<std::uint64_t, struct ExecutionTag>;
 using AttemptNumber = Strong<std::uint32_t, struct AttemptTag>;
-using Revision = Strong<std::uint64_t, struct RevisionTag>;       ///< of the configuration
+using Revision = Strong<std::uint64_t, struct RevisionTag>; ///< of the configuration
+/// Counts how often the platform's store has come back from a copy, and so lost what it had
+/// acknowledged.
+using StoreEra = Strong<std::uint64_t, struct StoreEraTag>;
 using Incarnation = Strong<std::uint64_t, struct IncarnationTag>; ///< one start of a node process
 
 } // namespace buckthornford
--- a/src/proxy/adapter.h
+++ b/src/proxy/adapter.h
@@ -92,6 +92,9 @@
     State state = State::Done;
     std::vector<StoredRow> rows;
     std::uint64_t version = 0; ///< newest version of the store, from which the next watch starts
+    /// The history to which the response belongs. Versions of different eras can't be compared: the
+    /// store gives them out again. Not set if the store doesn't say.
+    std::optional<StoreEra> era;
 };
 
 /// Makes calls to the platform's store and reads its responses.
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -157,14 +157,19 @@
                               });
 }
 
+void StoreTask::endCall(CallState *call)
+{
+    ++call->attempt; // A response to this attempt that arrives later is ignored.
+    call->isRunning = false;
+    if (call->connection)
+        call->connection->close();
+    call->connection.reset();
+}
+
 void StoreTask::failCall(CallKind kind, TimePoint now)
 {
     CallState &call = m_calls[kind];
-    ++call.attempt; // A response to this attempt that arrives later is ignored.
-    call.isRunning = false;
-    if (call.connection)
-        call.connection->close();
-    call.connection.reset();
+    endCall(&call);
     updateReachable(false);
     call.backoff = std::clamp(2 * call.backoff, minBackoff, maxBackoff);
     // Random, so that the nodes of the fleet do not all retry at the same time.
@@ -172,9 +177,36 @@
     call.nextStart = now + scaled(call.backoff, jitter(m_random));
 }
 
+void StoreTask::startEra(StoreEra era, CallKind noticedBy, TimePoint now)
+{
+    m_era = era;
+    // A watch in progress asks for changes since a version of the lost history.
+    CallState &watch = m_calls[ReadConfiguration];
+    if (watch.isRunning && noticedBy != ReadConfiguration)
+        endCall(&watch);
+    m_isWatching = false;
+    watch.nextStart = now;
+}
+
 void StoreTask::finishCall(CallKind kind, const StoreResponse &response, TimePoint now)
 {
     CallState &call = m_calls[kind];
+    const bool isLate = response.era && m_era && *response.era < *m_era;
+    if (isLate) {
+        failCall(kind, now);
+        return;
+    }
+    const bool isNewEra = response.era && m_era && *response.era > *m_era;
+    const bool isWatch = kind == ReadConfiguration && m_isWatching;
+    if (isNewEra)
+        startEra(*response.era, kind, now);
+    else if (response.era)
+        m_era = response.era;
+    if (isNewEra && isWatch) {
+        // What has changed since a version of the lost history says nothing.
+        call.isRunning = false;
+        return;
+    }
     if (response.state == StoreResponse::State::Compacted && kind == ReadConfiguration) {
         call.isRunning = false;
         m_isWatching = false;
@@ -213,7 +245,7 @@
 
 void StoreTask::publishConfiguration(const StoreResponse &response)
 {
-    m_storeVersion = std::max(m_storeVersion, response.version);
+    m_storeVersion = response.version;
     m_isWatching = true;
     for (const StoredRow &row : response.rows) {
         if (m_codec->isConfiguration(row) && !row.isDeleted)
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -91,6 +91,13 @@
     void startCall(CallKind kind, TimePoint now);
     void finishCall(CallKind kind, const StoreResponse &response, TimePoint now);
     void failCall(CallKind kind, TimePoint now);
+
+    /// Gives up the attempt in progress and its connection.
+    static void endCall(CallState *call);
+
+    /// The response to \a noticedBy shows that the store has lost what it had acknowledged: starts
+    /// to do again what rests on that.
+    void startEra(StoreEra era, CallKind noticedBy, TimePoint now);
     ClientRequest makeRequest(CallKind kind) const;
     Duration chooseWatchTimeout();
     void publishConfiguration(const StoreResponse &response);
@@ -101,6 +108,7 @@
     std::mt19937_64 m_random;
     StoreCallbacks m_callbacks;
     CallState m_calls[CallKindCount];
+    std::optional<StoreEra> m_era;    ///< newest that a response has named
     std::uint64_t m_storeVersion = 0; ///< up to which changes of the configuration were read
     bool m_isWatching = false; ///< the configuration was read; further calls wait for its changes
     std::optional<RegisterSelf> m_self;
