Write the node's own row again in each era of the store

What callers would see: a node that starts after the store came back from a copy finds no other node and serves only its own upstream's service, for up to 30 minutes.

Cause: a node took the store's acknowledgement of its row for final and wrote it again only every 30 minutes. Class of fault: what only a node knows isn't written again after the store has lost it.

Change: a new era schedules the write of the row, or its removal if the node is stopping; a write in progress from before is made again.

--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -186,6 +186,12 @@
         endCall(&watch);
     m_isWatching = false;
     watch.nextStart = now;
+    // The row of this node, or its removal, may be lost as well.
+    CallState &row = m_calls[WriteOwnRow];
+    if (row.isRunning && noticedBy != WriteOwnRow)
+        endCall(&row);
+    row.isScheduled = m_self.has_value();
+    row.nextStart = now;
 }
 
 void StoreTask::finishCall(CallKind kind, const StoreResponse &response, TimePoint now)
