Take a known version again if a newer era of the store holds another text

What callers would see: a configuration that was confirmed isn't in force: the store had lost the first one with its version, and the operator's next write got the same version with another text (CONFIG).

Cause: a node compared versions only, in ServiceNode and in ConfigurationHistory, and took an equal one for the one in use.

Change: the node keeps the era and a checksum of the text in use. An equal version from another era is compared by text; if it differs it replaces the one in use. Lower versions never do. The log line configuration-taken names the era.

A unit test covers the history.

--- a/src/preset/preset.cpp
+++ b/src/preset/preset.cpp
@@ -40,6 +40,15 @@
     return true;
 }
 
+void ConfigurationHistory::replaceOrAccept(Configuration configuration)
+{
+    const auto found = m_configurations.find(configuration.revision);
+    if (found != m_configurations.end())
+        found->second = std::move(configuration);
+    else
+        accept(std::move(configuration));
+}
+
 const Configuration *ConfigurationHistory::activeAt(WallTime now) const
 {
     for (auto it = m_configurations.rbegin(); it != m_configurations.rend(); ++it) {
--- a/src/preset/preset.h
+++ b/src/preset/preset.h
@@ -107,6 +107,9 @@
     /// Adds \a configuration if it is newer than all others. Returns whether it was.
     bool accept(Configuration configuration);
 
+    /// Puts \a configuration in place of the one with its revision, or else accepts it.
+    void replaceOrAccept(Configuration configuration);
+
     /// Returns the configuration that is active at \a now: the oldest one if none has taken effect
     /// yet, nullptr if there is none.
     const Configuration *activeAt(WallTime now) const;
--- a/src/preset/tests/test_preset.cpp
+++ b/src/preset/tests/test_preset.cpp
@@ -140,3 +140,20 @@
     BOOST_TEST(toJsonText(parseConfiguration(text).value()) == text);
     BOOST_TEST(!parseConfiguration("{}").has_value());
 }
+
+BOOST_AUTO_TEST_CASE(replacedRevisionKeepsItsPlaceAndAnOlderOneIsIgnored)
+{
+    ConfigurationHistory history;
+    Configuration newest = firstConfiguration();
+    newest.revision = Revision{9};
+    BOOST_TEST(history.accept(newest));
+    Configuration replacement = newest;
+    replacement.change = ChangeId{"written again"};
+    BOOST_TEST(!history.accept(replacement));
+    history.replaceOrAccept(replacement);
+    BOOST_TEST((history.newest()->change == replacement.change));
+    Configuration older = firstConfiguration();
+    older.revision = Revision{5};
+    history.replaceOrAccept(older);
+    BOOST_TEST((history.newest()->revision == Revision{9}));
+}
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -226,7 +226,7 @@
 
 void ProxyTask::on(ConfigurationChanged &&message, TimePoint)
 {
-    m_history.accept(std::move(message.configuration));
+    m_history.replaceOrAccept(std::move(message.configuration));
 }
 
 void ProxyTask::on(PoisonEventsArrived &&message, TimePoint now)
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -67,7 +67,7 @@
     ServerResponse handleAnnouncement(const ServerRequest &request);
     ServerResponse metricsResponse(const ServerRequest &request) const;
 
-    void acceptConfiguration(const std::string &text);
+    void acceptConfiguration(const std::string &text, std::optional<StoreEra> era);
     void probeUpstream();
     void runPeriodicWork();
     void readSettings();
@@ -97,6 +97,8 @@
             [this](const ServerRequest &request) { return metricsResponse(request); }};
     Endpoint upstreamEndpoint;
     Revision acceptedRevision;
+    std::uint64_t acceptedChecksum = 0;  ///< of the accepted text
+    std::optional<StoreEra> acceptedEra; ///< in which the store held the accepted text
     std::optional<StopSchedule> stop;
     TimePoint nextSettingsReload;
 };
@@ -168,7 +170,8 @@
             store->post(PeerCountChanged{gossip->liveCount()});
         proxy->post(std::move(members));
     };
-    callbacks.configuration = [this](const std::string &text) { acceptConfiguration(text); };
+    callbacks.configuration
+            = [this](const std::string &text) { acceptConfiguration(text, std::nullopt); };
     callbacks.poisonEvents
             = [this](PoisonEventsArrived poisonEvents) { proxy->post(std::move(poisonEvents)); };
     callbacks.nodeExpired = [this](const InstanceId &instance) {
@@ -181,7 +184,9 @@
 StoreCallbacks ServiceNode::Private::storeCallbacks()
 {
     StoreCallbacks callbacks;
-    callbacks.configuration = [this](const std::string &text) { acceptConfiguration(text); };
+    callbacks.configuration = [this](const std::string &text, std::optional<StoreEra> era) {
+        acceptConfiguration(text, era);
+    };
     callbacks.nodes = [this](const std::vector<StoredRow> &rows) {
         SeedsFound seeds;
         for (const StoredRow &row : rows)
@@ -286,7 +291,10 @@
     return response;
 }
 
-void ServiceNode::Private::acceptConfiguration(const std::string &text)
+/// Takes the configuration \a text, read in \a era of the store (none if a peer sent it), if it is
+/// newer than the one in use. A revision never reverts. The same revision comes with another text
+/// only if the store has lost the first one; the text of the newer era was acknowledged last.
+void ServiceNode::Private::acceptConfiguration(const std::string &text, std::optional<StoreEra> era)
 {
     const Result<Configuration> configuration = adapter.store->parseConfiguration(text);
     if (!configuration) {
@@ -297,11 +305,20 @@
         return;
     }
     const Revision revision = configuration.value().revision;
-    if (revision <= acceptedRevision)
+    const bool isSameRevision = revision == acceptedRevision;
+    const bool isKnown = isSameRevision && (!era || era == acceptedEra);
+    if (revision < acceptedRevision || isKnown)
+        return;
+    acceptedEra = era;
+    const std::uint64_t textChecksum = checksum(text);
+    if (isSameRevision && textChecksum == acceptedChecksum)
         return;
     acceptedRevision = revision;
+    acceptedChecksum = textChecksum;
     log.write(LogCategory::Process, "configuration-taken",
-              {{"revision", static_cast<std::int64_t>(revision.value())}}, monotonicNow());
+              {{"revision", static_cast<std::int64_t>(revision.value())},
+               {"store_era", era ? static_cast<std::int64_t>(era->value()) : 0}},
+              monotonicNow());
     callerServer->post(adapter.store->callerLimits(text));
     gossip->post(ConfigurationAccepted{revision, text});
     proxy->post(ConfigurationChanged{configuration.value()});
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -255,7 +255,7 @@
     m_isWatching = true;
     for (const StoredRow &row : response.rows) {
         if (m_codec->isConfiguration(row) && !row.isDeleted)
-            m_callbacks.configuration(row.value);
+            m_callbacks.configuration(row.value, response.era);
     }
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -43,7 +43,8 @@
 /// Called by the task with what it has read.
 struct StoreCallbacks
 {
-    std::function<void(std::string)> configuration;    ///< text of the configuration
+    /// Text of the configuration, and the era of the store in which it was read.
+    std::function<void(const std::string &, std::optional<StoreEra>)> configuration;
     std::function<void(std::vector<StoredRow>)> nodes; ///< rows of all nodes
     std::function<void(bool)> reachable;               ///< called when reachability has changed
 };
--- a/tests/integration/test_restored_store.py
+++ b/tests/integration/test_restored_store.py
@@ -46,6 +46,13 @@
             self.put_configuration(9, [SAFE])
         self.wait_until_in_force("/status/x", "/affirm/x")
 
+    def test_a_version_written_again_is_ignored_after_the_copy_was_read(self):
+        with self.restored_store(self.lose_configuration()):
+            pass
+        time.sleep(ROWS_WRITTEN_S)
+        self.put_configuration(9, [SAFE])
+        self.wait_until_in_force("/status/x", "/affirm/x")
+
     def test_lost_rows_of_nodes_stay_lost(self):
         addresses = self.stored_addresses()
         self.assertEqual(set(addresses), {node.name for node in self.nodes})
