--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -201,34 +201,63 @@
         : acceptor(loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0})
     {}
 
-    /// Sends one request, has the server write \a bytes and, if \a closesAfter, close the
-    /// connection. Returns the result that the client reports.
+    /// Sends one request on a new connection, has the server write \a bytes and, if
+    /// \a closesAfter, close the connection. Returns the result that the client reports.
     ClientResponse exchange(const std::string &bytes, bool closesAfter)
     {
-        connection = std::make_shared<ClientConnection>(&loop);
-        std::optional<ClientResponse> result;
+        connection.reset();
+        peer = tcp::socket(loop);
+        start("7");
+        boost::asio::write(peer, boost::asio::buffer(bytes));
+        if (closesAfter)
+            peer.shutdown(tcp::socket::shutdown_both);
+        loop.run_for(std::chrono::milliseconds(50));
+        BOOST_REQUIRE(result.has_value());
+        return *result;
+    }
+
+    /// Starts the exchange of a request with \a id on the connection, which is kept.
+    void start(const std::string &id)
+    {
+        if (!connection)
+            connection = std::make_shared<ClientConnection>(&loop);
         ClientRequest request;
         request.method = "GET";
         request.target = "/";
-        request.headers = {{"Host", "h"}, {"X-Id", "7"}};
+        request.headers = {{"Host", "h"}, {"X-Id", id}};
         request.idHeader = "X-Id";
+        result.reset();
         connection->exchange({"127.0.0.1", acceptor.local_endpoint().port()}, request,
-                             [&result](ClientResponse response) { result = std::move(response); });
+                             [this](ClientResponse response) { result = std::move(response); });
         loop.run_for(std::chrono::milliseconds(20));
-        tcp::socket socket = acceptor.accept();
+        if (!peer.is_open())
+            peer = acceptor.accept();
         loop.run_for(std::chrono::milliseconds(20));
-        boost::asio::write(socket, boost::asio::buffer(bytes));
-        if (closesAfter)
-            socket.shutdown(tcp::socket::shutdown_both);
+    }
+
+    /// Exchanges a request with \a id on the kept connection; the server writes \a bytes.
+    ClientResponse exchangeNext(const std::string &id, const std::string &bytes)
+    {
+        start(id);
+        boost::asio::write(peer, boost::asio::buffer(bytes));
         loop.run_for(std::chrono::milliseconds(50));
         BOOST_REQUIRE(result.has_value());
         return *result;
     }
 
     tcp::acceptor acceptor;
+    tcp::socket peer{loop}; ///< the server's end of the kept connection
     std::shared_ptr<ClientConnection> connection;
+    std::optional<ClientResponse> result;
 };
 
+std::string refusalOf(const std::string &id)
+{
+    return "HTTP/1.1 503 Full\r\nX-Id: " + id + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+const std::string refusalWithoutId
+        = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 const std::string matchingResponse = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok";
 const std::string mismatchedResponse = "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 3\r\n\r\nold";
 
@@ -282,6 +311,41 @@
     BOOST_TEST((exchange("nonsense\r\n\r\n", false).end == ClientResponse::End::Truncated));
 }
 
+BOOST_FIXTURE_TEST_CASE(refusalWithoutAnIdOnAKeptConnectionIsNotTaken, ClientFixture)
+{
+    BOOST_TEST(exchangeNext("7", matchingResponse).body == "ok");
+    BOOST_TEST((exchangeNext("8", refusalWithoutId).end != ClientResponse::End::Answered));
+    BOOST_TEST(!connection->isReusable());
+}
+
+BOOST_FIXTURE_TEST_CASE(refusalSentAgainForTheSameRequestIsNotTaken, ClientFixture)
+{
+    BOOST_TEST(exchangeNext("7", refusalOf("7")).status == 503);
+    BOOST_TEST((exchangeNext("7", refusalOf("7")).end != ClientResponse::End::Answered));
+    BOOST_TEST(!connection->isReusable());
+}
+
+BOOST_FIXTURE_TEST_CASE(refusalOfAnEarlierRequestIsSkippedOnAKeptConnection, ClientFixture)
+{
+    BOOST_TEST(exchangeNext("6", refusalOf("6")).status == 503);
+    BOOST_TEST(exchangeNext("7", refusalOf("6") + refusalWithoutId + matchingResponse).body
+               == "ok");
+    BOOST_TEST(!connection->isReusable());
+}
+
+BOOST_FIXTURE_TEST_CASE(refusalWithoutAnIdOnAFreshConnectionIsTaken, ClientFixture)
+{
+    BOOST_TEST(exchangeNext("7", refusalWithoutId).status == 503);
+    BOOST_TEST(connection->isReusable());
+}
+
+BOOST_FIXTURE_TEST_CASE(refusalsWithTheirIdsAreTakenOnAKeptConnection, ClientFixture)
+{
+    for (const std::string id : {"5", "6", "7"})
+        BOOST_TEST(exchangeNext(id, refusalOf(id)).status == 503);
+    BOOST_TEST(connection->isReusable());
+}
+
 BOOST_AUTO_TEST_CASE(hopByHopFieldsAreRemoved)
 {
     const HttpHeaders kept = endToEndHeaders({{"Host", "h"},
