Believe a refusal only if it certainly belongs to this request

Callers of requests that are not idempotent could be told "not run" while the target ran them (REFUSED), or the dispatcher sent them to a second target (TWICE).

Cause: ClientConnection took an error response without the id for the current request on any connection, and UpstreamTask sent a refused request again on the connection that had carried its refusal, where a copy of the refusal has the right id.

Change: a response is matched as Current, Other or Uncertain. Without the id it is Current only in the first exchange of its connection; with the id it is Uncertain if this connection has carried an error for the same id. An Uncertain one ends the exchange as Unmatched, an unknown outcome, and closes the connection. A connection remembers 8 bytes for each error and is closed after 64; UpstreamTask leaves one that has carried an error for the same request to other requests.

Why it works: a copy of an earlier response can only come on the connection of the original; there, none without the id and none with an id of an error is believed any more. True refusals stay: on a fresh connection in either form, on a kept one with their id.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace buckthornford {
@@ -19,6 +20,8 @@
 constexpr std::uint64_t maxResponseBodyBytes = 128ULL << 20U;
 constexpr int firstFinalStatus = 200;
 constexpr int firstErrorStatus = 400;
+/// Error responses after which a connection is closed, which bounds the ids that it remembers.
+constexpr std::size_t maxErrorsPerConnection = 64;
 
 std::string serializeRequest(const ClientRequest &request)
 {
@@ -48,6 +51,12 @@
     return std::chrono::seconds(seconds);
 }
 
+/// Returns the id by which a response to \a request is matched; nullptr if there is none.
+const std::string *idOf(const ClientRequest &request)
+{
+    return request.idHeader.empty() ? nullptr : findHeader(request.headers, request.idHeader);
+}
+
 } // namespace
 
 struct ClientConnection::Parser : http::response_parser<http::string_body>
@@ -64,6 +73,14 @@
     return m_isConnected && !m_isUnusable && !m_handler;
 }
 
+bool ClientConnection::hasCarriedErrorFor(const ClientRequest &request) const
+{
+    const std::string *id = idOf(request);
+    return id != nullptr
+           && std::find(m_idsOfErrors.begin(), m_idsOfErrors.end(), checksum(*id))
+                      != m_idsOfErrors.end();
+}
+
 void ClientConnection::close()
 {
     ++m_generation;
@@ -91,6 +108,8 @@
     const auto address = boost::asio::ip::make_address_v4(server.host, error);
     m_socket = tcp::socket(m_socket.get_executor());
     m_isUnusable = false;
+    m_isFirstExchange = true;
+    m_idsOfErrors.clear();
     const std::uint64_t generation = ++m_generation;
     m_socket.async_connect(
             tcp::endpoint(address, server.port),
@@ -98,9 +117,7 @@
                 if (generation != self->m_generation)
                     return;
                 if (failure) {
-                    ClientResponse response;
-                    response.end = ClientResponse::End::NotConnected;
-                    self->completeExchange(std::move(response));
+                    self->endExchange(ClientResponse::End::NotConnected);
                     return;
                 }
                 self->m_isConnected = true;
@@ -170,10 +187,7 @@
         const std::size_t used = m_parser->put(boost::asio::buffer(m_readBuffer), error);
         m_readBuffer.erase(0, used);
         if (error && error != http::error::need_more) {
-            ClientResponse response;
-            response.end = ClientResponse::End::Truncated;
-            m_isUnusable = true;
-            completeExchange(std::move(response));
+            endExchange(ClientResponse::End::Truncated);
             return;
         }
         if (m_parser->is_done()) {
@@ -185,6 +199,24 @@
     }
 }
 
+ClientConnection::Match ClientConnection::match(const ClientResponse &response) const
+{
+    if (m_request.idHeader.empty())
+        return Match::Current;
+    const std::string *sent = idOf(m_request);
+    const std::string *echoed = findHeader(response.headers, m_request.idHeader);
+    if (echoed != nullptr) {
+        if (sent == nullptr || *sent != *echoed)
+            return Match::Other;
+        return hasCarriedErrorFor(m_request) ? Match::Uncertain : Match::Current;
+    }
+    // An error response may come from a front of the server that doesn't repeat the id; a success
+    // without the id is not taken.
+    if (response.status < firstErrorStatus || m_isUnusable)
+        return Match::Other;
+    return m_isFirstExchange ? Match::Current : Match::Uncertain;
+}
+
 /// Takes the parsed response and completes the exchange with it. Returns false if it is not the
 /// final response to this request: an informational (1xx) one, or one with another request's id.
 bool ClientConnection::takeResponse()
@@ -196,27 +228,26 @@
     response.status = static_cast<int>(message.result_int());
     if (response.status < firstFinalStatus)
         return false;
-    HttpHeaders headers;
     for (const auto &field : message)
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    if (!m_request.idHeader.empty()) {
-        const std::string *sent = findHeader(m_request.headers, m_request.idHeader);
-        const std::string *echoed = findHeader(headers, m_request.idHeader);
-        // An error response may come from a front of the server that doesn't repeat the id; a
-        // success without the id is not taken.
-        const bool mayOmitId = response.status >= firstErrorStatus && !m_isUnusable;
-        const bool isForThisRequest
-                = echoed != nullptr ? sent != nullptr && *sent == *echoed : mayOmitId;
-        if (!isForThisRequest) {
-            m_isUnusable = true;
-            return false;
-        }
+        response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    const Match matched = match(response);
+    if (matched == Match::Other) {
+        m_isUnusable = true;
+        return false;
+    }
+    if (matched == Match::Uncertain) {
+        endExchange(ClientResponse::End::Unmatched);
+        return true;
     }
-    if (const std::string *field = findHeader(headers, "Keep-Alive"))
+    if (const std::string *field = findHeader(response.headers, "Keep-Alive"))
         m_keepAliveTimeout = parseKeepAliveTimeout(*field);
-    response.headers = endToEndHeaders(std::move(headers));
+    const std::string *id = idOf(m_request);
+    if (id != nullptr && response.status >= firstErrorStatus)
+        m_idsOfErrors.push_back(checksum(*id));
+    response.headers = endToEndHeaders(std::move(response.headers));
     response.body = std::move(message.body());
-    m_isUnusable = m_isUnusable || serverCloses || !m_readBuffer.empty() || !m_isRequestWritten;
+    m_isUnusable = m_isUnusable || serverCloses || !m_readBuffer.empty() || !m_isRequestWritten
+                   || m_idsOfErrors.size() >= maxErrorsPerConnection;
     completeExchange(std::move(response));
     return true;
 }
@@ -232,9 +263,15 @@
                 return;
         }
     }
-    ClientResponse response;
     const bool hasHead = m_parser && m_parser->is_header_done();
-    response.end = hasHead ? ClientResponse::End::Truncated : ClientResponse::End::ConnectionLost;
+    endExchange(hasHead ? ClientResponse::End::Truncated : ClientResponse::End::ConnectionLost);
+}
+
+/// Ends the exchange without a response and closes the connection.
+void ClientConnection::endExchange(ClientResponse::End end)
+{
+    ClientResponse response;
+    response.end = end;
     m_isUnusable = true;
     completeExchange(std::move(response));
 }
@@ -244,6 +281,7 @@
     const Handler handler = std::exchange(m_handler, nullptr);
     m_parser.reset();
     m_request = {};
+    m_isFirstExchange = false;
     if (response.end != ClientResponse::End::Answered || m_isUnusable) {
         m_readBuffer.clear();
         close();
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <unordered_map>
 #include <variant>
+#include <vector>
 
 namespace buckthornford {
 
@@ -128,6 +129,7 @@
         NotConnected,   ///< connecting failed; nothing was sent
         ConnectionLost, ///< the connection ended before the response's head was complete
         Truncated,      ///< it ended inside the response, or the bytes were no valid response
+        Unmatched,      ///< a response came that may belong to an earlier exchange
     };
 
     End end = End::Answered;
@@ -160,19 +162,27 @@
     /// Whether the connection is open, has no exchange in progress and can carry another one.
     bool isReusable() const;
 
+    /// Whether an earlier exchange on the open connection had the id of \a request and got an error
+    /// response. A copy of that response could not be told from a response to \a request.
+    bool hasCarriedErrorFor(const ClientRequest &request) const;
+
     /// How long the server keeps an idle connection, if its last Keep-Alive field said so.
     std::optional<Duration> keepAliveTimeout() const { return m_keepAliveTimeout; }
 
 private:
     struct Parser;
+    /// What the id of a response, or its absence, says about the exchange that it belongs to.
+    enum class Match { Current, Other, Uncertain };
 
     void connect(const Endpoint &server);
+    Match match(const ClientResponse &response) const;
     void write();
     void waitForBytes();
     void readBytes();
     void parse();
     void onEof(bool isOrderly);
     bool takeResponse();
+    void endExchange(ClientResponse::End end);
     void completeExchange(ClientResponse response);
 
     boost::asio::ip::tcp::socket m_socket;
@@ -182,6 +192,9 @@
     ClientRequest m_request;
     Handler m_handler;
     std::optional<Duration> m_keepAliveTimeout;
+    /// Checksums of the ids of the exchanges on this connection that ended with an error response.
+    std::vector<std::uint64_t> m_idsOfErrors;
+    bool m_isFirstExchange = true; ///< on this connection
     bool m_isConnected = false;
     bool m_hasTcpKeepAlive = false;
     bool m_isRequestWritten = false;
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -346,6 +346,14 @@
     BOOST_TEST(connection->isReusable());
 }
 
+BOOST_FIXTURE_TEST_CASE(connectionWithManyErrorsIsClosed, ClientFixture)
+{
+    for (int i = 1; i <= 64; ++i) {
+        BOOST_TEST(exchangeNext(std::to_string(i), refusalOf(std::to_string(i))).status == 503);
+        BOOST_TEST(connection->isReusable() == (i < 64));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(hopByHopFieldsAreRemoved)
 {
     const HttpHeaders kept = endToEndHeaders({{"Host", "h"},
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -43,6 +43,7 @@
     case ClientResponse::End::ConnectionLost:
         return End::ConnectionLost;
     case ClientResponse::End::Truncated:
+    case ClientResponse::End::Unmatched:
         return End::Truncated;
     }
     return End::ConnectionLost;
@@ -100,14 +101,19 @@
     return idle.connection->isReusable() && now - idle.idleSince < maxIdle;
 }
 
-std::shared_ptr<ClientConnection> UpstreamTask::takeConnection(bool isIdempotent, TimePoint now)
+std::shared_ptr<ClientConnection> UpstreamTask::takeConnection(const ClientRequest &request,
+                                                               bool isIdempotent, TimePoint now)
 {
-    while (!m_idleConnections.empty()) {
-        const IdleConnection idle = std::move(m_idleConnections.back());
-        m_idleConnections.pop_back();
-        if (canReuse(idle, isIdempotent, now))
-            return idle.connection;
-        idle.connection->close();
+    for (auto idle = m_idleConnections.end(); idle != m_idleConnections.begin();) {
+        --idle;
+        if (!canReuse(*idle, isIdempotent, now)) {
+            idle->connection->close();
+            idle = m_idleConnections.erase(idle);
+        } else if (!idle->connection->hasCarriedErrorFor(request)) {
+            const std::shared_ptr<ClientConnection> connection = idle->connection;
+            m_idleConnections.erase(idle);
+            return connection;
+        }
     }
     ++m_openedConnectionCount;
     return std::make_shared<ClientConnection>(&loop());
@@ -116,12 +122,12 @@
 void UpstreamTask::on(StartJob &&job, TimePoint now)
 {
     const bool isIdempotent = job.run.work.idempotent;
-    const auto connection = takeConnection(isIdempotent, now);
+    ClientRequest request = m_codec->makeRequest(job.run, m_identity, job.deadline - now);
+    const auto connection = takeConnection(request, isIdempotent, now);
     m_jobs.insert_or_assign(job.execution,
                             Job{connection, m_identity, now, job.deadline, isIdempotent});
     wakeBy(job.deadline + deadlineCheckDelay);
-    connection->exchange(m_identity.address,
-                         m_codec->makeRequest(job.run, m_identity, job.deadline - now),
+    connection->exchange(m_identity.address, std::move(request),
                          [this, execution = job.execution](ClientResponse response) {
                              onResponse(execution, std::move(response), monotonicNow());
                          });
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -112,9 +112,11 @@
     void on(CancelJob &&job, TimePoint now);
     void on(UpstreamChanged &&change, TimePoint now);
 
-    /// Returns the most recently used idle connection that can be reused, or a new one if there is
-    /// none; closes those that can't.
-    std::shared_ptr<ClientConnection> takeConnection(bool isIdempotent, TimePoint now);
+    /// Returns the most recently used idle connection that can carry \a request, or a new one if
+    /// there is none; closes those that can't be reused. One that has carried an error response to
+    /// the same request is left for other requests.
+    std::shared_ptr<ClientConnection> takeConnection(const ClientRequest &request,
+                                                     bool isIdempotent, TimePoint now);
     /// Returns whether \a idle is open and has been idle for a short enough time.
     bool canReuse(const IdleConnection &idle, bool isIdempotent, TimePoint now) const;
     void onResponse(ExecutionId execution, ClientResponse response, TimePoint now);
