--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE http1
 #include "http1/http1.h"
+#include "http1/tests/flood_server.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -354,6 +355,107 @@
     }
 }
 
+namespace {
+
+struct EndlessResponse
+{
+    std::string name;
+    std::string prefix;
+    std::string unit;
+};
+
+std::vector<EndlessResponse> endlessResponses()
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    return {{"status line", "HTTP/1.1 200 ", "a"},
+            {"bytes that are no response", "", "a"},
+            {"header line", head + "X-Long: ", "a"},
+            {"header lines", head, "A: b\r\n"},
+            {"informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"responses with another id", "", mismatchedResponse},
+            {"chunks", chunked, "1000\r\n" + std::string(4096, 'a') + "\r\n"},
+            {"chunk extension", chunked + "5;", "a"},
+            {"chunks with long extensions", chunked, "1;" + std::string(50'000, 'a') + "\r\nb\r\n"},
+            {"trailers", chunked + "0\r\n", "A: b\r\n"},
+            {"body without a length", head + "\r\n", "a"},
+            {"body with a huge length", head + "Content-Length: 99999999999\r\n\r\n", "a"},
+            {"body with a length out of range",
+             head + "Content-Length: 99999999999999999999999\r\n\r\n", "a"}};
+}
+
+/// Longest time in which the loop ran no timer.
+struct StallMeter
+{
+    explicit StallMeter(EventLoop *loop)
+        : timer(*loop)
+    {
+        arm();
+    }
+
+    void arm()
+    {
+        const TimePoint start = monotonicNow();
+        timer.expires_after(interval);
+        timer.async_wait([this, start](const boost::system::error_code &error) {
+            if (error)
+                return;
+            longest = std::max(longest, monotonicNow() - start - interval);
+            arm();
+        });
+    }
+
+    static constexpr Duration interval = std::chrono::milliseconds(5);
+    boost::asio::steady_timer timer;
+    Duration longest{0};
+};
+
+} // namespace
+
+/// Others are served meanwhile, and the bytes that the server can write stay bounded.
+BOOST_FIXTURE_TEST_CASE(responsesWithoutEndEndTheirExchange, ServerFixture)
+{
+    constexpr std::size_t floodBytes = 256U << 20U;
+    constexpr std::size_t maxWritten = 80U << 20U; // 64 MiB and what the sockets' buffers hold
+    FloodServer good(matchingResponse, "", 0);
+    for (const EndlessResponse &endless : endlessResponses()) {
+        BOOST_TEST_CONTEXT(endless.name)
+        {
+            FloodServer flood(endless.prefix, endless.unit, floodBytes);
+            StallMeter meter(&loop);
+            ClientRequest request;
+            request.method = "POST";
+            request.target = "/";
+            request.headers = {{"Host", "h"}, {"X-Id", "7"}};
+            request.idHeader = "X-Id";
+            const auto exchangeWith = [this, &request](const FloodServer &to,
+                                                       std::optional<ClientResponse> *result) {
+                const auto connection = std::make_shared<ClientConnection>(&loop);
+                connection->exchange(
+                        {"127.0.0.1", to.port()}, request,
+                        [result](ClientResponse response) { *result = std::move(response); });
+                return connection;
+            };
+            std::optional<ClientResponse> result;
+            std::optional<ClientResponse> goodResult;
+            const auto connection = exchangeWith(flood, &result);
+            const auto goodConnection = exchangeWith(good, &goodResult);
+            for (int i = 0; i < 600 && !(result && goodResult); ++i)
+                loop.run_for(std::chrono::milliseconds(10));
+            BOOST_TEST((goodResult && goodResult->body == "ok"));
+            BOOST_TEST((result
+                        && (result->end == ClientResponse::End::Truncated
+                            || result->end == ClientResponse::End::ConnectionLost)));
+            BOOST_TEST(!connection->isReusable());
+            BOOST_TEST(flood.written() <= maxWritten);
+            BOOST_TEST(toMilliseconds(meter.longest) < 500.0);
+            connection->close();
+            goodConnection->close();
+            loop.run_for(std::chrono::milliseconds(1));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(hopByHopFieldsAreRemoved)
 {
     const HttpHeaders kept = endToEndHeaders({{"Host", "h"},
--- a/src/upstream/tests/test_upstream.cpp
+++ b/src/upstream/tests/test_upstream.cpp
@@ -1,9 +1,14 @@
 #define BOOST_TEST_MODULE upstream
+#include "http1/tests/flood_server.h"
 #include "upstream/upstream.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <malloc.h>
+
+#include <fstream>
+
 using namespace buckthornford;
 using boost::asio::ip::tcp;
 
@@ -91,6 +96,17 @@
     return "HTTP/1.1 503 Full\r\n" + idField + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
+/// Returns the resident memory of the process, in bytes.
+std::size_t residentBytes()
+{
+    constexpr std::size_t pageSize = 4096;
+    std::ifstream file("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * pageSize;
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(refusalThatMayBeOfAnEarlierJobIsNotReportedAsNotRun, UpstreamFixture)
@@ -126,3 +142,46 @@
     BOOST_REQUIRE(results.size() == 1U);
     BOOST_TEST((results[0].end == UpstreamResult::End::Shed));
 }
+
+BOOST_FIXTURE_TEST_CASE(manyLongResponsesInProgressStayWithinABoundOfMemory, UpstreamFixture)
+{
+    constexpr std::size_t jobCount = 20;
+    constexpr std::size_t floodBytes = 16U << 20U; // on each connection
+    constexpr std::size_t maxGrowth = 112U << 20U; // 20 times 16 MiB without a bound
+    FloodServer server("HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\n", "a", floodBytes);
+    task.post(UpstreamChanged{{"i-2", 2, {"127.0.0.1", server.port()}}});
+    (void)malloc_trim(0);
+    const std::size_t before = residentBytes();
+    for (std::size_t i = 0; i < jobCount; ++i)
+        startJob("r");
+    std::size_t mostGrowth = 0;
+    for (int i = 0; i < 300 && server.written() < jobCount * floodBytes / 2; ++i) {
+        run(std::chrono::milliseconds(10));
+        mostGrowth = std::max(mostGrowth, residentBytes() - std::min(before, residentBytes()));
+    }
+    run(std::chrono::milliseconds(200));
+    mostGrowth = std::max(mostGrowth, residentBytes() - std::min(before, residentBytes()));
+    BOOST_TEST(mostGrowth < maxGrowth);
+    BOOST_TEST(!results.empty());
+    BOOST_TEST(results.size() < jobCount);
+    for (const UpstreamResult &result : results)
+        BOOST_TEST((result.end == UpstreamResult::End::Truncated));
+    results.clear();
+    FloodServer good("HTTP/1.1 200 OK\r\nX-Id: s\r\nContent-Length: 2\r\n\r\nok", "", 0);
+    task.post(UpstreamChanged{{"i-3", 3, {"127.0.0.1", good.port()}}});
+    startJob("s");
+    run(std::chrono::milliseconds(100));
+    BOOST_REQUIRE(results.size() == 1U);
+    BOOST_TEST(results[0].body == "ok");
+}
+
+BOOST_FIXTURE_TEST_CASE(probeOfAServerThatSendsWithoutEndReportsReachableOnce, UpstreamFixture)
+{
+    FloodServer server("", "a", 256U << 20U);
+    std::vector<bool> reports;
+    probe(&loop, {"127.0.0.1", server.port()},
+          [&reports](bool isReachable) { reports.push_back(isReachable); });
+    run(std::chrono::milliseconds(500));
+    BOOST_TEST(reports == std::vector<bool>{true});
+    BOOST_TEST(server.written() < (16U << 20U));
+}
