A response with a huge Content-Length no longer ends the process

A faulty server that sends a Content-Length beyond the body limit, and bytes of the body in the same segment, ended the node (std::bad_alloc).

Cause: Beast 1.74 in eager mode goes on with the bytes behind the head without looking at the error of finish_header() (basic_parser.ipp), and string_body reserves the announced length.

Evidence: responsesWithoutEndEndTheirExchange, "fatal error: std::bad_alloc" in the case of bytes.

Change: the parser is eager only behind the head, so put() returns the error. The server is not affected: oversizedBodyIsNotReadAsAHead, added as a guard, passed before the change too.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -178,11 +178,13 @@
     while (m_handler && !m_readBuffer.empty()) {
         if (!m_parser) {
             m_parser = std::make_unique<Parser>();
-            m_parser->eager(true);
             m_parser->header_limit(maxResponseHeadBytes);
             m_parser->body_limit(maxResponseBodyBytes);
             m_parser->skip(m_request.method == "HEAD");
         }
+        // Beast loses the error of a Content-Length beyond the body limit if it goes on at once with
+        // the bytes behind the head.
+        m_parser->eager(m_parser->is_header_done());
         boost::system::error_code error;
         const std::size_t used = m_parser->put(boost::asio::buffer(m_readBuffer), error);
         m_readBuffer.erase(0, used);
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -169,6 +169,17 @@
     BOOST_TEST(received().find("HTTP/1.1 413") == 0U);
 }
 
+/// The body's first bytes look like the end of a head.
+BOOST_FIXTURE_TEST_CASE(oversizedBodyIsNotReadAsAHead, ServerFixture)
+{
+    for (const std::string body : {"A: b\r\n\r\nhello", "\r\nhello", "A: b\r\nhello"}) {
+        connect();
+        send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\n" + body);
+        BOOST_TEST(received().find("HTTP/1.1 413") == 0U, body);
+    }
+    BOOST_TEST(events.requests.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(incompleteRequestGets408AfterTheHeaderTimeout, ServerFixture)
 {
     HttpServerLimits limits;
