Bound what a server may send in one exchange

A server in trouble that sends without end held a connection, a slot of the admission controller and a growing share of the memory until the deadline of the request; the calls to the store until their timeout.

Cause: Beast bounds the head and the body of a response, but neither the extensions of a chunk nor the trailers; responses that are skipped had no bound on their number; bodies could reach 128 MiB.

Change: HttpClientLimits: 64 KiB that the parser has not taken (a head, a chunk header, trailers), 32 MiB for a body, 64 MiB for all bytes of an exchange, 64 skipped responses. Beyond one, the exchange ends as Truncated, an unknown outcome, and the connection is closed. The store task allows 8 MiB and 12 MiB: the store responds with 1 MB at most.

Why it works: every byte that is read counts in one of the bounds, and each is checked after each read of at most 64 KiB; Beast resumes its search for the end of a line where it stopped, so nothing is scanned again and again.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-constexpr std::uint32_t maxResponseHeadBytes = 65536;
-constexpr std::uint64_t maxResponseBodyBytes = 128ULL << 20U;
 constexpr int firstFinalStatus = 200;
 constexpr int firstErrorStatus = 400;
 /// Error responses after which a connection is closed, which bounds the ids that it remembers.
@@ -62,8 +60,9 @@
 struct ClientConnection::Parser : http::response_parser<http::string_body>
 {};
 
-ClientConnection::ClientConnection(EventLoop *loop)
-    : m_socket(*loop)
+ClientConnection::ClientConnection(EventLoop *loop, const HttpClientLimits &limits)
+    : m_limits(limits)
+    , m_socket(*loop)
 {}
 
 ClientConnection::~ClientConnection() = default;
@@ -96,6 +95,8 @@
     m_handler = std::move(handler);
     m_writeBuffer = serializeRequest(m_request);
     m_isRequestWritten = false;
+    m_receivedBytes = 0;
+    m_skippedResponseCount = 0;
     if (m_isConnected)
         write();
     else
@@ -156,7 +157,9 @@
 void ClientConnection::readBytes()
 {
     const std::uint64_t generation = m_generation;
+    const std::size_t unparsedBytes = m_readBuffer.size();
     const ReadState state = readAvailable(&m_socket, &m_readBuffer);
+    m_receivedBytes += m_readBuffer.size() - unparsedBytes;
     if (!m_handler) {
         // Bytes or an EOF between exchanges belong to no request.
         if (state != ReadState::Open || !m_readBuffer.empty()) {
@@ -173,17 +176,31 @@
         waitForBytes();
 }
 
+void ClientConnection::createParser()
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.header.value()));
+    m_parser->body_limit(m_limits.body.value());
+    m_parser->skip(m_request.method == "HEAD");
+}
+
+/// Beast itself bounds the head and the body of one response, but neither the extensions of a
+/// chunk, the trailers nor the responses that are skipped.
+bool ClientConnection::exceedsLimits() const
+{
+    return m_readBuffer.size() > m_limits.header.value()
+           || m_receivedBytes > m_limits.received.value()
+           || m_skippedResponseCount > m_limits.skippedResponses;
+}
+
 void ClientConnection::parse()
 {
-    while (m_handler && !m_readBuffer.empty()) {
-        if (!m_parser) {
-            m_parser = std::make_unique<Parser>();
-            m_parser->header_limit(maxResponseHeadBytes);
-            m_parser->body_limit(maxResponseBodyBytes);
-            m_parser->skip(m_request.method == "HEAD");
-        }
-        // Beast loses the error of a Content-Length beyond the body limit if it goes on at once with
-        // the bytes behind the head.
+    bool needsMore = false;
+    while (m_handler && !m_readBuffer.empty() && !needsMore) {
+        if (!m_parser)
+            createParser();
+        // Beast loses the error of a Content-Length beyond the body limit if it goes on at once
+        // with the bytes behind the head.
         m_parser->eager(m_parser->is_header_done());
         boost::system::error_code error;
         const std::size_t used = m_parser->put(boost::asio::buffer(m_readBuffer), error);
@@ -192,13 +209,15 @@
             endExchange(ClientResponse::End::Truncated);
             return;
         }
-        if (m_parser->is_done()) {
-            if (takeResponse())
-                return;
-        } else if (used == 0 || error) {
+        if (!m_parser->is_done())
+            needsMore = used == 0 || error;
+        else if (takeResponse())
             return;
-        }
+        else
+            needsMore = ++m_skippedResponseCount > m_limits.skippedResponses;
     }
+    if (m_handler && exceedsLimits())
+        endExchange(ClientResponse::End::Truncated);
 }
 
 ClientConnection::Match ClientConnection::match(const ClientResponse &response) const
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -121,6 +121,16 @@
     std::string idHeader;
 };
 
+/// Limits on what a client takes from a server. An exchange whose response exceeds one ends as
+/// ClientResponse::End::Truncated, and its connection is closed.
+struct HttpClientLimits
+{
+    Bytes header{65536};        ///< status line and fields together; also extensions and trailers
+    Bytes body{32U << 20U};     ///< of one response
+    Bytes received{64U << 20U}; ///< in one exchange: all responses, their framing included
+    std::uint32_t skippedResponses = 64; ///< informational ones and those with another id
+};
+
 /// How an exchange with a server ended, and the response if there was one.
 struct ClientResponse
 {
@@ -144,7 +154,7 @@
 public:
     using Handler = std::function<void(ClientResponse)>;
 
-    explicit ClientConnection(EventLoop *loop);
+    explicit ClientConnection(EventLoop *loop, const HttpClientLimits &limits = {});
     ~ClientConnection();
 
     /// Sends \a request, connecting to \a server first if the connection is not open. Calls
@@ -181,10 +191,13 @@
     void readBytes();
     void parse();
     void onEof(bool isOrderly);
+    void createParser();
+    bool exceedsLimits() const;
     bool takeResponse();
     void endExchange(ClientResponse::End end);
     void completeExchange(ClientResponse response);
 
+    HttpClientLimits m_limits;
     boost::asio::ip::tcp::socket m_socket;
     std::string m_writeBuffer;
     std::string m_readBuffer;
@@ -192,6 +205,8 @@
     ClientRequest m_request;
     Handler m_handler;
     std::optional<Duration> m_keepAliveTimeout;
+    std::uint64_t m_receivedBytes = 0;        ///< in the exchange in progress
+    std::uint32_t m_skippedResponseCount = 0; ///< in the exchange in progress
     /// Checksums of the ids of the exchanges on this connection that ended with an error response.
     std::vector<std::uint64_t> m_idsOfErrors;
     bool m_isFirstExchange = true; ///< on this connection
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -18,6 +18,8 @@
 constexpr Duration listingInterval = std::chrono::seconds(1); ///< while no other node is known
 /// By then, nodes that start together have stored their rows.
 constexpr Duration bootstrapListingDelay = std::chrono::milliseconds(600);
+/// The store responds with at most 500 rows or 1 MB.
+constexpr HttpClientLimits responseLimits{.body = Bytes{8U << 20U}, .received = Bytes{12U << 20U}};
 constexpr Duration idleInterval = std::chrono::seconds(1);
 /// A node writes its row again after this time, in case other nodes took it for dead and removed
 /// the row. It is half of the lifetime of a tombstone (Membership::Settings::tombstoneLifetime).
@@ -141,7 +143,7 @@
     call.deadline = now + callTimeout + (isWatch ? m_watchTimeout : Duration{0});
     const std::uint64_t attempt = ++call.attempt;
     if (!call.connection || !call.connection->isReusable())
-        call.connection = std::make_shared<ClientConnection>(&loop());
+        call.connection = std::make_shared<ClientConnection>(&loop(), responseLimits);
     call.connection->enableTcpKeepAlive();
     ++m_callCount;
     call.connection->exchange(m_store, makeRequest(kind),
