Bound the memory of all responses that a task is receiving

Each response had a bound of its own only: with the target sending without end on many connections, a node of 160 MB could be killed for its memory.

Cause: nothing summed what the connections of a task hold.

Change: ResponseMemory, one for each task (48 MiB for the upstream, 16 MiB for the store): connections report what they hold after each read, and beyond the limit the exchange that holds the most ends as Truncated, an unknown outcome. A closed connection keeps no buffer.

Why it works: short responses hold less than those without end, so these go first, and what is held can exceed the limit by one read (64 KiB) only.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -60,12 +60,41 @@
 struct ClientConnection::Parser : http::response_parser<http::string_body>
 {};
 
-ClientConnection::ClientConnection(EventLoop *loop, const HttpClientLimits &limits)
+void ResponseMemory::hold(ClientConnection *connection, Bytes size)
+{
+    Bytes &known = m_sizes.try_emplace(connection, 0).first->second;
+    m_held = Bytes{m_held.value() - known.value() + size.value()};
+    known = size;
+    if (m_held.value() <= m_limit.value())
+        return;
+    const auto largest
+            = std::max_element(m_sizes.begin(), m_sizes.end(), [](const auto &a, const auto &b) {
+                  return a.second.value() < b.second.value();
+              });
+    largest->first->endExchange(ClientResponse::End::Truncated);
+}
+
+void ResponseMemory::release(ClientConnection *connection)
+{
+    const auto found = m_sizes.find(connection);
+    if (found == m_sizes.end())
+        return;
+    m_held = Bytes{m_held.value() - found->second.value()};
+    m_sizes.erase(found);
+}
+
+ClientConnection::ClientConnection(EventLoop *loop, const HttpClientLimits &limits,
+                                   std::shared_ptr<ResponseMemory> memory)
     : m_limits(limits)
+    , m_memory(std::move(memory))
     , m_socket(*loop)
 {}
 
-ClientConnection::~ClientConnection() = default;
+ClientConnection::~ClientConnection()
+{
+    if (m_memory)
+        m_memory->release(this);
+}
 
 bool ClientConnection::isReusable() const
 {
@@ -84,6 +113,10 @@
 {
     ++m_generation;
     m_handler = nullptr;
+    m_parser.reset();
+    std::string().swap(m_readBuffer);
+    if (m_memory)
+        m_memory->release(this);
     m_isConnected = false;
     boost::system::error_code ignored;
     m_socket.close(ignored);
@@ -218,6 +251,14 @@
     }
     if (m_handler && exceedsLimits())
         endExchange(ClientResponse::End::Truncated);
+    else if (m_handler && m_memory)
+        reportHeldMemory();
+}
+
+void ClientConnection::reportHeldMemory()
+{
+    const std::size_t bodySize = m_parser ? m_parser->get().body().size() : 0;
+    m_memory->hold(this, Bytes{m_readBuffer.size() + bodySize});
 }
 
 ClientConnection::Match ClientConnection::match(const ClientResponse &response) const
@@ -299,8 +340,11 @@
 
 void ClientConnection::completeExchange(ClientResponse response)
 {
+    const auto self = shared_from_this(); // The handler may drop the connection.
     const Handler handler = std::exchange(m_handler, nullptr);
     m_parser.reset();
+    if (m_memory)
+        m_memory->release(this);
     m_request = {};
     m_isFirstExchange = false;
     if (response.end != ClientResponse::End::Answered || m_isUnusable) {
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -148,13 +148,41 @@
     std::string body;
 };
 
+class ClientConnection;
+
+/// Bounds the memory of all responses that a task is receiving. Only the event loop's thread may
+/// use it.
+class ResponseMemory
+{
+public:
+    explicit ResponseMemory(Bytes limit)
+        : m_limit(limit)
+    {}
+
+    /// Sets what the response in progress on \a connection holds. If all of them hold more than
+    /// the limit then, ends the exchange that holds the most.
+    void hold(ClientConnection *connection, Bytes size);
+
+    /// The exchange on \a connection has ended.
+    void release(ClientConnection *connection);
+
+    Bytes held() const { return m_held; }
+
+private:
+    Bytes m_limit;
+    Bytes m_held{0};
+    std::unordered_map<ClientConnection *, Bytes> m_sizes;
+};
+
 /// A client connection to a server. It carries one exchange at a time and stays open in between.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
 public:
     using Handler = std::function<void(ClientResponse)>;
 
-    explicit ClientConnection(EventLoop *loop, const HttpClientLimits &limits = {});
+    /// \a memory bounds the responses of all connections that share it; none if it is null.
+    explicit ClientConnection(EventLoop *loop, const HttpClientLimits &limits = {},
+                              std::shared_ptr<ResponseMemory> memory = nullptr);
     ~ClientConnection();
 
     /// Sends \a request, connecting to \a server first if the connection is not open. Calls
@@ -180,6 +208,7 @@
     std::optional<Duration> keepAliveTimeout() const { return m_keepAliveTimeout; }
 
 private:
+    friend class ResponseMemory;
     struct Parser;
     /// What the id of a response, or its absence, says about the exchange that it belongs to.
     enum class Match { Current, Other, Uncertain };
@@ -193,11 +222,13 @@
     void onEof(bool isOrderly);
     void createParser();
     bool exceedsLimits() const;
+    void reportHeldMemory();
     bool takeResponse();
     void endExchange(ClientResponse::End end);
     void completeExchange(ClientResponse response);
 
     HttpClientLimits m_limits;
+    std::shared_ptr<ResponseMemory> m_memory;
     boost::asio::ip::tcp::socket m_socket;
     std::string m_writeBuffer;
     std::string m_readBuffer;
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -270,6 +270,7 @@
 
 const std::string refusalWithoutId
         = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string headWithoutLength = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\n";
 const std::string matchingResponse = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok";
 const std::string mismatchedResponse = "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 3\r\n\r\nold";
 
@@ -467,6 +468,46 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(longestResponseEndsWhenAllTogetherHoldTooMuch, ClientFixture)
+{
+    const auto memory = std::make_shared<ResponseMemory>(Bytes{1'000'000});
+    std::vector<std::shared_ptr<ClientConnection>> connections;
+    std::vector<tcp::socket> peers;
+    const auto send = [this](tcp::socket *to, std::size_t size) {
+        const std::string body(size, 'a');
+        std::size_t sent = 0;
+        to->non_blocking(true);
+        while (sent < size) {
+            boost::system::error_code full; // The client reads while the loop runs.
+            sent += to->write_some(boost::asio::buffer(body.data() + sent, size - sent), full);
+            loop.run_for(std::chrono::milliseconds(2));
+        }
+        loop.run_for(std::chrono::milliseconds(20));
+    };
+    for (const std::size_t size : {300'000U, 500'000U, 100'000U}) {
+        connection = std::make_shared<ClientConnection>(&loop, HttpClientLimits{}, memory);
+        peer = tcp::socket(loop);
+        start("7");
+        boost::asio::write(peer, boost::asio::buffer(headWithoutLength));
+        connections.push_back(connection);
+        peers.push_back(std::move(peer));
+        send(&peers.back(), size);
+    }
+    BOOST_TEST(memory->held().value() == 900'000U);
+    result.reset();
+    send(&peers[0], 150'000);
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result->end == ClientResponse::End::Truncated));
+    BOOST_TEST(memory->held().value() == 550'000U);
+    result.reset();
+    peers[0].shutdown(tcp::socket::shutdown_both);
+    loop.run_for(std::chrono::milliseconds(20));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result->body.size() == 450'000U);
+    connections[2]->close();
+    BOOST_TEST(memory->held().value() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(hopByHopFieldsAreRemoved)
 {
     const HttpHeaders kept = endToEndHeaders({{"Host", "h"},
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -20,6 +20,7 @@
 constexpr Duration bootstrapListingDelay = std::chrono::milliseconds(600);
 /// The store responds with at most 500 rows or 1 MB.
 constexpr HttpClientLimits responseLimits{.body = Bytes{8U << 20U}, .received = Bytes{12U << 20U}};
+constexpr Bytes maxResponseMemory{16U << 20U}; ///< of all responses in progress
 constexpr Duration idleInterval = std::chrono::seconds(1);
 /// A node writes its row again after this time, in case other nodes took it for dead and removed
 /// the row. It is half of the lifetime of a tombstone (Membership::Settings::tombstoneLifetime).
@@ -33,6 +34,7 @@
     : LoopTask(loop)
     , m_store(store)
     , m_codec(std::move(codec))
+    , m_responseMemory(std::make_shared<ResponseMemory>(maxResponseMemory))
     , m_random(seed)
     , m_callbacks(std::move(callbacks))
 {
@@ -143,7 +145,8 @@
     call.deadline = now + callTimeout + (isWatch ? m_watchTimeout : Duration{0});
     const std::uint64_t attempt = ++call.attempt;
     if (!call.connection || !call.connection->isReusable())
-        call.connection = std::make_shared<ClientConnection>(&loop(), responseLimits);
+        call.connection
+                = std::make_shared<ClientConnection>(&loop(), responseLimits, m_responseMemory);
     call.connection->enableTcpKeepAlive();
     ++m_callCount;
     call.connection->exchange(m_store, makeRequest(kind),
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -98,6 +98,7 @@
 
     Endpoint m_store;
     std::shared_ptr<const StoreCodec> m_codec;
+    std::shared_ptr<ResponseMemory> m_responseMemory;
     std::mt19937_64 m_random;
     StoreCallbacks m_callbacks;
     CallState m_calls[CallKindCount];
--- a/src/upstream/tests/test_upstream.cpp
+++ b/src/upstream/tests/test_upstream.cpp
@@ -161,6 +161,7 @@
     }
     run(std::chrono::milliseconds(200));
     mostGrowth = std::max(mostGrowth, residentBytes() - std::min(before, residentBytes()));
+    BOOST_TEST_MESSAGE("growth " << mostGrowth << ", ended " << results.size());
     BOOST_TEST(mostGrowth < maxGrowth);
     BOOST_TEST(!results.empty());
     BOOST_TEST(results.size() < jobCount);
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -18,6 +18,8 @@
 constexpr Duration idleCheckInterval = std::chrono::milliseconds(500);
 /// How long after the deadline of a job the task wakes to end it.
 constexpr Duration deadlineCheckDelay = std::chrono::milliseconds(20);
+/// Memory of all responses in progress; machines have 160 MB and more.
+constexpr Bytes maxResponseMemory{48U << 20U};
 
 UpstreamResult::End toResultEnd(UpstreamCodec::ResponseKind kind)
 {
@@ -55,6 +57,7 @@
                            UpstreamResultHandler resultHandler)
     : LoopTask(loop)
     , m_codec(codec)
+    , m_responseMemory(std::make_shared<ResponseMemory>(maxResponseMemory))
     , m_resultHandler(std::move(resultHandler))
 {}
 
@@ -116,7 +119,7 @@
         }
     }
     ++m_openedConnectionCount;
-    return std::make_shared<ClientConnection>(&loop());
+    return std::make_shared<ClientConnection>(&loop(), HttpClientLimits{}, m_responseMemory);
 }
 
 void UpstreamTask::on(StartJob &&job, TimePoint now)
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -124,6 +124,7 @@
     void endJob(ExecutionId execution, UpstreamResult::End end, TimePoint now);
 
     const UpstreamCodec *m_codec;
+    std::shared_ptr<ResponseMemory> m_responseMemory;
     UpstreamResultHandler m_resultHandler;
     UpstreamIdentity m_identity;
     std::vector<IdleConnection> m_idleConnections; ///< in order of use, the last used at the end
