--- a/src/routes/tests/test_routes.cpp
+++ b/src/routes/tests/test_routes.cpp
@@ -78,3 +78,27 @@
     for (int i = 0; i < 10; ++i)
         BOOST_TEST(chooser.choose(split).value() == "x");
 }
+
+BOOST_AUTO_TEST_CASE(weightsWhoseSumIsInfiniteKeepTheirProportions)
+{
+    Route split = route("split", "/a/");
+    split.services = {{ServiceName{"x"}, 1.5e308}, {ServiceName{"y"}, 0.5e308}};
+    ServiceChooser chooser(3);
+    std::map<std::string, int> counts;
+    for (int i = 1; i <= 1000; ++i)
+        ++counts[chooser.choose(split).value()];
+    BOOST_TEST(std::abs(counts["x"] - 750) <= 2);
+}
+
+BOOST_AUTO_TEST_CASE(weightsOfAllSizesGiveEachRequestAService)
+{
+    for (const double weight : {1e300, 5e-324, 1.7e308, 0.0}) {
+        Route split = route("split", "/a/");
+        split.services = {{ServiceName{"x"}, weight}, {ServiceName{"y"}, weight}};
+        ServiceChooser chooser(3);
+        std::map<std::string, int> counts;
+        for (int i = 1; i <= 1000; ++i)
+            ++counts[chooser.choose(split).value()];
+        BOOST_TEST(std::abs(counts["x"] - 500) <= 2);
+    }
+}
