Keep the proportions of weights whose sum is infinite

A route whose weights sum to more than a double holds sent each service the same share.

Cause: choose() divided by the sum of the weights, which was infinite.

Evidence: weightsWhoseSumIsInfiniteKeepTheirProportions: 500 of 1,000 requests instead of 750.

Change: sharesOf() computes each share once, from the weights relative to the largest; choose() no longer sums at each request.

--- a/src/routes/routes.cpp
+++ b/src/routes/routes.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <numeric>
 
 namespace buckthornford {
 
@@ -60,9 +59,17 @@
     if (isUnchanged)
         return shares;
     shares.clear();
-    std::uniform_real_distribution<double> start(0.0, 1.0);
+    double largest = 0.0;
+    for (const WeightedService &service : route.services)
+        largest = std::max(largest, service.weight);
+    double total = 0.0; // Relative to the largest weight, so that the sum is finite.
     for (const WeightedService &service : route.services)
-        shares.push_back({service.service, service.weight, start(m_random)});
+        total += largest > 0.0 ? service.weight / largest : 1.0;
+    std::uniform_real_distribution<double> start(0.0, 1.0);
+    for (const WeightedService &service : route.services) {
+        const double relative = largest > 0.0 ? service.weight / largest : 1.0;
+        shares.push_back({service.service, service.weight, relative / total, start(m_random)});
+    }
     return shares;
 }
 
@@ -71,11 +78,8 @@
     if (route.services.size() == 1)
         return route.services.front().service;
     std::vector<Share> &shares = sharesOf(route);
-    const double total
-            = std::accumulate(shares.begin(), shares.end(), 0.0,
-                              [](double sum, const Share &share) { return sum + share.weight; });
     for (Share &share : shares)
-        share.credit += total > 0.0 ? share.weight / total : 1.0;
+        share.credit += share.portion;
     const auto mostDue
             = std::max_element(shares.begin(), shares.end(),
                                [](const Share &a, const Share &b) { return a.credit < b.credit; });
--- a/src/routes/routes.h
+++ b/src/routes/routes.h
@@ -72,7 +72,8 @@
     {
         ServiceName service;
         double weight = 0.0;
-        double credit = 0.0; ///< requests due to the service; negative if it got too many
+        double portion = 0.0; ///< of the route's requests, from 0 to 1
+        double credit = 0.0;  ///< requests due to the service; negative if it got too many
     };
 
     /// Returns the shares of \a route, reset if its services or weights have changed.
