--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <unordered_map>
 #include <variant>
+#include <vector>
 
 namespace buckthornford {
 
@@ -123,6 +124,16 @@
     std::string idHeader;
 };
 
+/// Limits on what a client takes from a server. An exchange whose response exceeds one ends as
+/// ClientResponse::End::Truncated, and its connection is closed.
+struct HttpClientLimits
+{
+    Bytes header{65536};        ///< status line and fields together; also extensions and trailers
+    Bytes body{32U << 20U};     ///< of one response
+    Bytes received{64U << 20U}; ///< in one exchange: all responses, their framing included
+    std::uint32_t skippedResponses = 64; ///< informational ones and those with another id
+};
+
 /// How an exchange with a server ended, and the response if there was one.
 struct ClientResponse
 {
@@ -131,6 +142,7 @@
         NotConnected,   ///< connecting failed; nothing was sent
         ConnectionLost, ///< the connection ended before the response's head was complete
         Truncated,      ///< it ended inside the response, or the bytes were no valid response
+        Unmatched,      ///< a response came that may belong to an earlier exchange
     };
 
     End end = End::Answered;
@@ -139,13 +151,41 @@
     std::string body;
 };
 
+class ClientConnection;
+
+/// Bounds the memory of all responses that a task is receiving. Only the event loop's thread may
+/// use it.
+class ResponseMemory
+{
+public:
+    explicit ResponseMemory(Bytes limit)
+        : m_limit(limit)
+    {}
+
+    /// Sets what the response in progress on \a connection holds. If all of them hold more than
+    /// the limit then, ends the exchange that holds the most.
+    void hold(ClientConnection *connection, Bytes size);
+
+    /// The exchange on \a connection has ended.
+    void release(ClientConnection *connection);
+
+    Bytes held() const { return m_held; }
+
+private:
+    Bytes m_limit;
+    Bytes m_held{0};
+    std::unordered_map<ClientConnection *, Bytes> m_sizes;
+};
+
 /// A client connection to a server. It carries one exchange at a time and stays open in between.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
 public:
     using Handler = std::function<void(ClientResponse)>;
 
-    explicit ClientConnection(EventLoop *loop);
+    /// \a memory bounds the responses of all connections that share it; none if it is null.
+    explicit ClientConnection(EventLoop *loop, const HttpClientLimits &limits = {},
+                              std::shared_ptr<ResponseMemory> memory = nullptr);
     ~ClientConnection();
 
     /// Sends \a request, connecting to \a server first if the connection is not open. Calls
@@ -163,21 +203,35 @@
     /// Whether the connection is open, has no exchange in progress and can carry another one.
     bool isReusable() const;
 
+    /// Whether an earlier exchange on the open connection had the id of \a request and got an error
+    /// response. A copy of that response could not be told from a response to \a request.
+    bool hasCarriedErrorFor(const ClientRequest &request) const;
+
     /// How long the server keeps an idle connection, if its last Keep-Alive field said so.
     std::optional<Duration> keepAliveTimeout() const { return m_keepAliveTimeout; }
 
 private:
+    friend class ResponseMemory;
     struct Parser;
+    /// What the id of a response, or its absence, says about the exchange that it belongs to.
+    enum class Match { Current, Other, Uncertain };
 
     void connect(const Endpoint &server);
+    Match match(const ClientResponse &response) const;
     void write();
     void waitForBytes();
     void readBytes();
     void parse();
     void onEof(bool isOrderly);
+    void createParser();
+    bool exceedsLimits() const;
+    void reportHeldMemory();
     bool takeResponse();
+    void endExchange(ClientResponse::End end);
     void completeExchange(ClientResponse response);
 
+    HttpClientLimits m_limits;
+    std::shared_ptr<ResponseMemory> m_memory;
     boost::asio::ip::tcp::socket m_socket;
     std::string m_writeBuffer;
     std::string m_readBuffer;
@@ -185,6 +239,11 @@
     ClientRequest m_request;
     Handler m_handler;
     std::optional<Duration> m_keepAliveTimeout;
+    std::uint64_t m_receivedBytes = 0;        ///< in the exchange in progress
+    std::uint32_t m_skippedResponseCount = 0; ///< in the exchange in progress
+    /// Checksums of the ids of the exchanges on this connection that ended with an error response.
+    std::vector<std::uint64_t> m_idsOfErrors;
+    bool m_isFirstExchange = true; ///< on this connection
     bool m_isConnected = false;
     bool m_hasTcpKeepAlive = false;
     bool m_isRequestWritten = false;
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -19,6 +19,8 @@
 /// How long after the deadline of a job the upstream's own answer, which it sends at the deadline,
 /// may arrive before the job is ended without one.
 constexpr Duration lateAnswerAllowance = std::chrono::milliseconds(50);
+/// Memory of all responses in progress; machines have 160 MB and more.
+constexpr Bytes maxResponseMemory{48U << 20U};
 
 UpstreamResult::End toResultEnd(UpstreamCodec::ResponseKind kind)
 {
@@ -44,6 +46,7 @@
     case ClientResponse::End::ConnectionLost:
         return End::ConnectionLost;
     case ClientResponse::End::Truncated:
+    case ClientResponse::End::Unmatched:
         return End::Truncated;
     }
     return End::ConnectionLost;
@@ -55,6 +58,7 @@
                            UpstreamResultHandler resultHandler)
     : LoopTask(loop)
     , m_codec(codec)
+    , m_responseMemory(std::make_shared<ResponseMemory>(maxResponseMemory))
     , m_resultHandler(std::move(resultHandler))
 {}
 
@@ -101,28 +105,33 @@
     return idle.connection->isReusable() && now - idle.idleSince < maxIdle;
 }
 
-std::shared_ptr<ClientConnection> UpstreamTask::takeConnection(bool isIdempotent, TimePoint now)
+std::shared_ptr<ClientConnection> UpstreamTask::takeConnection(const ClientRequest &request,
+                                                               bool isIdempotent, TimePoint now)
 {
-    while (!m_idleConnections.empty()) {
-        const IdleConnection idle = std::move(m_idleConnections.back());
-        m_idleConnections.pop_back();
-        if (canReuse(idle, isIdempotent, now))
-            return idle.connection;
-        idle.connection->close();
+    for (auto idle = m_idleConnections.end(); idle != m_idleConnections.begin();) {
+        --idle;
+        if (!canReuse(*idle, isIdempotent, now)) {
+            idle->connection->close();
+            idle = m_idleConnections.erase(idle);
+        } else if (!idle->connection->hasCarriedErrorFor(request)) {
+            const std::shared_ptr<ClientConnection> connection = idle->connection;
+            m_idleConnections.erase(idle);
+            return connection;
+        }
     }
     ++m_openedConnectionCount;
-    return std::make_shared<ClientConnection>(&loop());
+    return std::make_shared<ClientConnection>(&loop(), HttpClientLimits{}, m_responseMemory);
 }
 
 void UpstreamTask::on(StartJob &&job, TimePoint now)
 {
     const bool isIdempotent = job.run.work.idempotent;
-    const auto connection = takeConnection(isIdempotent, now);
+    ClientRequest request = m_codec->makeRequest(job.run, m_identity, job.deadline - now);
+    const auto connection = takeConnection(request, isIdempotent, now);
     m_jobs.insert_or_assign(job.execution,
                             Job{connection, m_identity, now, job.deadline, isIdempotent});
     wakeBy(job.deadline + lateAnswerAllowance);
-    connection->exchange(m_identity.address,
-                         m_codec->makeRequest(job.run, m_identity, job.deadline - now),
+    connection->exchange(m_identity.address, std::move(request),
                          [this, execution = job.execution](ClientResponse response) {
                              onResponse(execution, std::move(response), monotonicNow());
                          });
