Test odd entries with real nodes; lint

test_odd_entries_of_another_writer_end_no_node_and_hide_no_other_entry: odd addresses and values in the table of nodes, odd configurations in op/config and odd heartbeats. The nodes stay, one that restarts finds the others, the target keeps serving and the next valid version is in force.

--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -442,7 +442,7 @@
             request.idHeader = "X-Id";
             const auto exchangeWith = [this, &request](const FloodServer &to,
                                                        std::optional<ClientResponse> *result) {
-                const auto connection = std::make_shared<ClientConnection>(&loop);
+                auto connection = std::make_shared<ClientConnection>(&loop);
                 connection->exchange(
                         {"127.0.0.1", to.port()}, request,
                         [result](ClientResponse response) { *result = std::move(response); });
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -113,7 +113,7 @@
             idle->connection->close();
             idle = m_idleConnections.erase(idle);
         } else if (!idle->connection->hasCarriedErrorFor(request)) {
-            const std::shared_ptr<ClientConnection> connection = idle->connection;
+            std::shared_ptr<ClientConnection> connection = std::move(idle->connection);
             m_idleConnections.erase(idle);
             return connection;
         }
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -1,5 +1,6 @@
 """Real buckthornford-platform-node processes with stand-ins of the users' store and upstreams."""
 
+import base64
 import os
 import pathlib
 import signal
@@ -9,6 +10,7 @@
 import threading
 import time
 import unittest
+import urllib.error
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "scripts"))
@@ -155,6 +157,42 @@
         time.sleep(0.3)
         self.assertTrue(self.serves_everywhere())
 
+    def test_odd_entries_of_another_writer_end_no_node_and_hide_no_other_entry(self):
+        def put(table, key, value):
+            self.store.transact({"Puts": [{"Table": table, "part": "", "Key": key,
+                                           "Value": base64.b64encode(value).decode()}]})
+
+        for i, address in enumerate((
+                b"127.0.0.1:0", b"127.0.0.1:65536", b"127.0.0.1:99999999999999999999", b"127.0.0.1",
+                b"", b"\xff\xfe", b"1" * 60000, b"[" * 48000)):
+            put("buckthornford-nodes", f"odd{i}", address)
+        self.store.transact({"Puts": [
+            {"Table": "buckthornford-nodes", "part": "", "Key": "odd", "Value": "not base64"},
+            {"Table": "op", "part": "", "Key": "other", "Value": "?"}]})
+        for value in (b"[" * 24000 + b"]" * 24000, b"[" * 500000 + b"]" * 500000,
+                      b'{"Version":1e999,"Resources":[]}', b"\xff"):
+            put("op", "config", value)
+        upstream = self.nodes[2].upstream
+        for body in ({"born": 2 ** 63 - 1}, {"Address": "127.0.0.1:65536"}, {"Info": [[[[]]]]}):
+            report = {"born": upstream.born, "Address": upstream.address,
+                      "Info": {"Service": "affirmer", "Slots": 8},
+                      "Status": {"State": "draining", "Sequence": 99999}}
+            with self.assertRaises(urllib.error.HTTPError):
+                upstream.call("instances.heartbeat", report | body)
+        self.nodes[0].kill()
+        self.nodes[0].start()
+        # A valid version stands in the store again before the node needs it.
+        moved = ("swap.example", "/status/", "safe", "affirmer", 2000)
+        self.store.put_configuration(configuration(30, [moved, UNSAFE], ["tracker", "affirmer"]))
+        fleet.wait_until(self.nodes[0].is_ready, 10, "readiness beside odd entries")
+        fleet.wait_until(lambda: self.serves_everywhere(), 10, "service beside odd entries")
+        for node in self.nodes:
+            self.assertIsNone(node.process.poll())
+            request = self.send_request(node, "/status/x")[3]
+            self.assertEqual([n.upstream.service for n in self.nodes
+                              if any(r[0] == request for r in n.upstream.executions)],
+                             ["affirmer"])
+
     def test_a_node_restarted_without_the_store_gets_the_newest_configuration(self):
         without_status_route = configuration(9, [UNSAFE], ["tracker", "affirmer"])
         self.store.put_configuration(without_status_route)
