--- a/tests/integration/test_ctl.py
+++ b/tests/integration/test_ctl.py
@@ -45,6 +45,19 @@
         example = str(fleet.ROOT / "examples/haneul/presets.json")
         self.assertEqual(self.ctl("presets", "validate", example).returncode, 0)
 
+    def test_a_deeply_nested_change_is_refused(self):
+        node = self.fleet.instances[0]["operators"]
+        for kind in ("replace", "put"):
+            for nested in (b"[" * 400000 + b"]" * 400000, b'{"a":' * 100000 + b"1" + b"}" * 100000):
+                body = (b'{"kind":"%s","id":"deep","preset":"p","document":' % kind.encode()
+                        + nested + b"}")
+                self.assertIn(fleet.http("POST", node, "/configuration", body)[0], (400, 422))
+        self.assertEqual(self.ctl_json("status")["liveNodes"], 4)
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write('{"inForce": "x", "presets": ' + "[" * 400000 + "]" * 400000 + "}")
+            file.flush()
+            self.assertEqual(self.ctl("presets", "put", "p", file.name).returncode, 1)
+
     def test_switch_repeated_applies_once_and_outdated_is_refused(self):
         before = self.ctl_json("configuration")["revision"]
         accepted = self.ctl_json("--change_id=again", "presets", "switch", "maintenance")
