A deeply nested change of an operator no longer ends the node

Cause: parseChange() wrote the document member as text again to parse it; nlohmann writes recursively, so the stack overflowed.

Evidence: integration_test_ctl, RemoteDisconnected at 400,000 levels.

Change: readDocument() reads the parsed value as it is; nothing is written or copied. buckthornford-ctl reads documents with the same function before it sends them, so it refuses such a file.

Why it works: parsing and destroying are not recursive in nlohmann, and the reader follows the known members only.

Measured: test_ctl.py 9 tests, OK; test_preset 15 cases, no errors.

--- a/src/node/operator_handler.cpp
+++ b/src/node/operator_handler.cpp
@@ -60,7 +60,7 @@
         change.basedOn = Revision{root["basedOn"].get<std::uint64_t>()};
     }
     if (root.contains("document")) {
-        DocumentResult document = parseDocument(root["document"].dump());
+        DocumentResult document = readDocument(root["document"]);
         if (!document)
             return errorResponse(document.error().error, "document." + document.error().field,
                                  document.error().detail);
--- a/src/preset/document_json.cpp
+++ b/src/preset/document_json.cpp
@@ -199,27 +199,6 @@
     return preset;
 }
 
-DocumentResult readDocument(const json &root)
-{
-    std::optional<DocumentError> error;
-    ObjectReader reader(root, "", &error);
-    reader.allowOnly({"presets", "inForce"});
-    Document document;
-    document.activePresetName = PresetName{reader.readString("inForce")};
-    const json *presets = reader.find("presets");
-    if (presets != nullptr && (!presets->is_object() || presets->empty()))
-        reader.fail("presets", "is not an object with at least one preset");
-    if (error)
-        return *error;
-    for (const auto &[name, object] : presets->items())
-        document.presets.emplace(PresetName{name}, readPreset(name, object, &error));
-    if (!document.presets.contains(document.activePresetName))
-        reader.fail("inForce", "names no preset of this document");
-    if (error)
-        return *error;
-    return document;
-}
-
 json toJson(const Preset &preset)
 {
     json classes = json::array();
@@ -249,6 +228,27 @@
 
 } // namespace
 
+DocumentResult readDocument(const json &root)
+{
+    std::optional<DocumentError> error;
+    ObjectReader reader(root, "", &error);
+    reader.allowOnly({"presets", "inForce"});
+    Document document;
+    document.activePresetName = PresetName{reader.readString("inForce")};
+    const json *presets = reader.find("presets");
+    if (presets != nullptr && (!presets->is_object() || presets->empty()))
+        reader.fail("presets", "is not an object with at least one preset");
+    if (error)
+        return *error;
+    for (const auto &[name, object] : presets->items())
+        document.presets.emplace(PresetName{name}, readPreset(name, object, &error));
+    if (!document.presets.contains(document.activePresetName))
+        reader.fail("inForce", "names no preset of this document");
+    if (error)
+        return *error;
+    return document;
+}
+
 DocumentResult parseDocument(std::string_view text)
 {
     const json root = json::parse(text, nullptr, false);
--- a/src/preset/preset.h
+++ b/src/preset/preset.h
@@ -5,6 +5,8 @@
 #include "core/core.h"
 #include "routes/routes.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <array>
 #include <map>
 #include <optional>
@@ -80,6 +82,9 @@
 /// Reads a document from JSON text; docs/CONFIGURATION.md describes the format.
 DocumentResult parseDocument(std::string_view text);
 
+/// Reads a document from a parsed JSON value.
+DocumentResult readDocument(const nlohmann::json &root);
+
 /// Returns the document as indented JSON, without its routes.
 std::string toJsonText(const Document &document);
 
