Stand-in of an upstream: work time by request, answers without Nagle's delay

Change: TCP_NODELAY on the stand-ins' connections. A subclass can choose the work time by the request's path and see when work ends, for the soak.

That a node waits no longer than 50 ms for an answer which an upstream sends in two segments stays open.

--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -26,6 +26,7 @@
 
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True  # a head and its body are written separately
 
     def log_message(self, *_):
         pass
@@ -198,11 +199,14 @@
                 upstream.executions.append((request_id, self.command, self.path, body,
                                             dict(self.headers)))
                 time_left_s = int(self.headers["X-Deadline-Ms"]) / 1000
-                time.sleep(min(upstream.work_s, time_left_s))
+                work_s = upstream.work_s_of(self.path)
+                deadline = time.monotonic() + time_left_s
+                time.sleep(min(work_s, time_left_s))
+                upstream.record_end(request_id, time.monotonic() - deadline)
                 signed = echo + [("X-Server-Signature", "sig-" + request_id),
                                  ("X-Server-Load", "1,0,8,100")]
                 try:
-                    if upstream.work_s > time_left_s:
+                    if work_s > time_left_s:
                         self.reply(504, b"deadline", signed)
                     else:
                         self.reply(200, b"answer to " + request_id.encode() + upstream.padding,
@@ -215,6 +219,14 @@
         self.server = Server(("127.0.0.1", port), UpstreamHandler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
+    def work_s_of(self, path):
+        """Returns how long the request for `path` works."""
+        del path
+        return self.work_s
+
+    def record_end(self, request_id, past_deadline_s):
+        """Is called at the end of each execution, before its response."""
+
     def send_heartbeat(self):
         """Sends a heartbeat to the node. Returns the HTTP status of its response."""
         self.sequence += 1
