Soak: planned stops that overlap, long work and exits that aren't as asked

The soak stopped one node at a time, callers moved on after 20 requests, and work lasted 2 to 60 ms. A process that outlived its stop was killed in silence, and one that had ended by itself before it was drawn for a fault went unseen.

Callers hold idle connections to each node, use them at some moment of the series, and go on until the process is gone. Work lasts up to 4 s at a limit of 2 s, and up to 5.5 s at 5 s on one route; 3 % of the other callers' requests work 0.2 to 1.6 s. New checks, without other faults: no request that ran is cut or gets a node's own answer before its time limit is over, none is held and then dropped, none that ran is refused, also idempotent ones. A process must end within GraceS and with status 0 when it is asked to, in all phases, upstreams too; one that ended before is reported. The time limit as an excuse for a node's own answer is that of the rule LOST.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,16 +1,19 @@
 """The guarantees that a soak checks, from what callers received and upstreams ran."""
 
 import json
+import signal
 
 DRAIN_S = 2.5  # as DrainMs of the settings
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 SERVED_SHARE = 0.95  # of the requests in the calm phase
+LOSS_SLACK_S = 0.2  # within which a process that ends may drop a request that it has not passed on
 
 
 class Checks:
     def __init__(self, deployment, requests):
         self.requests = {request["id"]: request for request in requests}
         self.runs = {}
+        self.late_s = {}  # by request: how long after its deadline the upstream ended the work
         self.leaving_times = {}  # by upstream identity: when its node acknowledged its leaving
         self.deployment = deployment
         for instance in deployment.instances:
@@ -26,6 +29,8 @@
             entry["instance"] = instance
             if "run" in entry:
                 self.runs.setdefault(entry["run"], []).append(entry)
+            elif "late" in entry:
+                self.late_s[entry["late"]] = entry["s"]
             else:
                 self.leaving_times[entry["identity"]] = entry["time"]
 
@@ -34,7 +39,8 @@
         found = []
         for check in (self.at_most_once, self.true_refusals, self.only_asked, self.whole_answers,
                       self.no_revert, self.no_work_for_leaving, self.planned_stops_cut_nothing,
-                      self.processes_live, self.calm_requests_are_served):
+                      self.planned_stops_break_off_nothing, self.processes_live,
+                      self.calm_requests_are_served):
             found += [f"{check.__name__}: {text}" for text in check()]
         return found
 
@@ -97,16 +103,47 @@
                     yield f"{run['run']} reached {run['identity']}, leaving for {run['time'] - leaving_time:.2f} s"
 
     def planned_stops_cut_nothing(self):
-        """In the calm phase nodes are stopped in turn; no call that ran loses its answer."""
+        """Nodes are stopped in turn and in series that overlap, with no other fault: no call that
+        ran loses its answer, none is held and then dropped, and no refused one ran."""
         for request in self.requests.values():
-            if request["isCalm"] and request["status"] is None and request["id"] in self.runs:
-                yield f"{request['id']} ran without an answer, connection ended: {request['error']}"
+            if request["phase"] == "faults":
+                continue
+            if request["id"] not in self.runs:
+                if request["status"] is None and request["ended"] - request["sent"] > LOSS_SLACK_S:
+                    yield f"{self.describe(request)} was held and dropped: {request['error']}"
+            elif request["status"] is None:
+                yield f"{self.describe(request)} ran without an answer: {request['error']}"
+            elif request["status"] in NOT_RUN_STATUSES and request["signature"] is None:
+                yield f"{self.describe(request)} ran, but was refused with {request['status']}"
+
+    def planned_stops_break_off_nothing(self):
+        """What ran ends with the upstream's answer, or when the call's whole time limit is over."""
+        for request in self.requests.values():
+            if request["phase"] != "faults" and request["id"] in self.runs \
+                    and request["status"] is not None and request["signature"] is None \
+                    and request["ended"] - request["sent"] < request["limit_s"]:
+                yield f"{self.describe(request)} ran and got the node's own {request['status']}"
+
+    def since_stop_s(self, request):
+        """Returns how long before the request its entry node got SIGTERM; None if it got none."""
+        times = [stop["time"] for stop in self.deployment.stops
+                 if stop["pid"] == request["entry"] and stop["signal"] == signal.SIGTERM]
+        return request["sent"] - times[0] if times else None
+
+    def describe(self, request):
+        since_stop_s = self.since_stop_s(request)
+        stop = "" if since_stop_s is None else f" {since_stop_s:.2f} s after its SIGTERM"
+        late_s = self.late_s.get(request["id"])
+        late = "" if late_s is None else f", upstream {late_s * 1000:.0f} ms late"
+        return (f"{request['id']} ({request['path']}, sent to {request['entry']}{stop}, "
+                f"ended after {request['ended'] - request['sent']:.2f} s{late})")
 
     def processes_live(self):
         yield from self.deployment.unexpected_exits
 
     def calm_requests_are_served(self):
-        calm = [request for request in self.requests.values() if request["isCalm"]]
+        calm = [request for request in self.requests.values()
+                if request["phase"] == "calm" and request["probe"] is None]
         served = sum(1 for request in calm if request["status"] == 200)
         if not calm or served < SERVED_SHARE * len(calm):
             yield f"{served} of {len(calm)} served after faults ended, wanted {SERVED_SHARE:.0%}"
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -20,6 +21,10 @@
 ZONES = ("a", "b", "c")
 HOST = "swap.example"
 TIMEOUT_MS = 2000
+LONG_TIMEOUT_MS = 5000  # of a route for work that lasts most of a stop; no longer than that
+GRACE_S = 6.0  # as GraceS of the settings
+FIRST_PORT, PORT_RANGES, PORTS_PER_RANGE = 10000, 20, 1000
+HANDLER_TIMEOUT_S = 10.0  # until a process that was started handles its signals
 
 
 def port_of(address):
@@ -80,19 +85,84 @@
                    self.admin, str(self.ledger)]
         self.upstream = self.deployment.start_process(f"{self.name}-upstream", command)
 
+    def end(self, role, number, seconds):
+        """Sends the signal `number` to the process of `role` ("node" or "upstream") and waits
+        until it has ended. A process that had ended before, that is still there after `seconds` or
+        that doesn't end as the signal asks is reported."""
+        process = getattr(self, role)
+        handler_deadline = now() + HANDLER_TIMEOUT_S
+        while number != signal.SIGKILL and process.poll() is None \
+                and not handles(process, number) and now() < handler_deadline:
+            time.sleep(0.02)
+        if self.report_if_ended(role):
+            return
+        stop = {"pid": process.pid, "instance": self.name, "role": role, "time": now(),
+                "signal": number}
+        self.deployment.stops.append(stop)
+        process.send_signal(number)
+        try:
+            status = process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            status = process.wait()
+            self.deployment.report_exit(f"{role} of {self.name} ({process.pid}) was still there "
+                                        f"{seconds} s after signal {number}")
+        else:
+            if status != (-number if number == signal.SIGKILL else 0):
+                self.deployment.report_exit(f"{role} of {self.name} ({process.pid}) ended with "
+                                            f"status {status} after signal {number}")
+        stop["ended"] = now()
+
+    def report_if_ended(self, role):
+        """Reports the process of `role` if it has ended by itself. Returns whether it has."""
+        process = getattr(self, role)
+        if process.poll() is not None:
+            self.deployment.report_exit(f"{role} of {self.name} ({process.pid}) ended by itself "
+                                        f"with status {process.returncode}")
+        return process.poll() is not None
+
     def is_ready(self):
         return fleet.http("GET", self.readiness, "/readyz", timeout=1)[0] == 200
 
 
+def handles(process, number):
+    """Whether the program has installed its handler of the signal; before that it would end by
+    the signal."""
+    try:
+        with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
+            masks = dict(line.split(":") for line in status
+                         if line.startswith(("SigIgn", "SigCgt")))
+    except FileNotFoundError:
+        return False  # It has ended.
+    return any(int(mask, 16) >> (number - 1) & 1 for mask in masks.values())
+
+
+def claim_ports(seed):
+    """Claims a range of ports that no other soak uses at present. Returns (a socket that holds the
+    claim until it is closed, the first port to use)."""
+    for i in range(PORT_RANGES):
+        claim = socket.socket()
+        first = FIRST_PORT + (seed + i) % PORT_RANGES * PORTS_PER_RANGE
+        try:
+            claim.bind(("127.0.0.1", first))
+            claim.listen()
+            return claim, first + 1
+        except OSError:
+            claim.close()
+    raise RuntimeError("other soaks use all port ranges")
+
+
 # All processes of a soak, and the store, which runs in this process.
 class Deployment:
-    def __init__(self, instances, first_port, folder):
+    def __init__(self, instances, seed, folder):
         self.folder = pathlib.Path(folder)
+        self.port_claim, first_port = claim_ports(seed)
         self.ports = fleet.Ports(first_port)
         self.store_address = self.ports.take()
         self.store = Store(port_of(self.store_address))
         self.processes = []
-        self.unexpected_exits = []  # texts on processes that ended without the soak's doing
+        self.unexpected_exits = []  # texts on processes that didn't end as the soak asked
+        self.stops = []  # what Instance.end() ended: pid, signal, time and end
         self.lock = threading.Lock()
         self.version = 0
         self.publish_configuration()
@@ -113,12 +183,16 @@
             self.processes.append(process)
         return process
 
+    def report_exit(self, text):
+        self.unexpected_exits.append(f"{now():.3f} {text}")
+
     def publish_configuration(self):
         """Puts the next configuration version into the store: its own probe route replaces that of
         the version before."""
         self.version += 1
         routes = [(HOST, "/status/", "safe", "tracker", TIMEOUT_MS),
                   (HOST, "/affirm/", "unsafe", "affirmer", TIMEOUT_MS),
+                  (HOST, "/long/", "unsafe", "affirmer", LONG_TIMEOUT_MS),
                   (HOST, f"/probe-{self.version}/", "safe", "tracker", TIMEOUT_MS)]
         self.store.put_configuration(configuration(self.version, routes, SERVICES))
 
@@ -138,6 +212,7 @@
             process.wait()
         self.store.server.shutdown()
         self.store.server.server_close()
+        self.port_claim.close()
 
 
 def now():
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,25 +3,11 @@
 import signal
 import time
 
-from deployment import fleet, now
+from deployment import GRACE_S, fleet, handles, now
 
 DISTURBANCE_TAIL_S = 3.0  # an instance counts as disturbed for this long after a fault ended
-
-
-def handles_hangup(process):
-    """Whether the program has installed its SIGHUP handler; before that SIGHUP ends it."""
-    with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
-        masks = dict(line.split(":") for line in status if line.startswith(("SigIgn", "SigCgt")))
-    return any(int(mask, 16) >> (signal.SIGHUP - 1) & 1 for mask in masks.values())
-
-
-def wait_for_exit(process, seconds):
-    deadline = now() + seconds
-    while process.poll() is None and now() < deadline:
-        time.sleep(0.02)
-    if process.poll() is None:
-        process.kill()
-    process.wait()
+KILL_S = 5.0  # within which a killed process is gone
+UPSTREAM_DRAIN_S = 12.0
 
 
 class Faults:
@@ -50,15 +36,13 @@
 
     def kill_node(self, instance, duration_s):
         with instance.lock:
-            instance.node.kill()
-            instance.node.wait()
+            instance.end("node", signal.SIGKILL, KILL_S)
             time.sleep(min(duration_s, 1.5))
             instance.start_node()
 
     def stop_node(self, instance, _):
         with instance.lock:
-            instance.node.send_signal(signal.SIGTERM)
-            wait_for_exit(instance.node, 7.0)
+            instance.end("node", signal.SIGTERM, GRACE_S)
             instance.start_node()
 
     def pause_node(self, instance, duration_s):
@@ -76,20 +60,20 @@
 
     def hang_up_node(self, instance, _):
         with instance.lock:
-            fleet.wait_until(lambda: handles_hangup(instance.node), 5, "a node to handle SIGHUP")
+            fleet.wait_until(lambda: instance.node.poll() is not None
+                             or handles(instance.node, signal.SIGHUP), 5,
+                             "a node to handle SIGHUP")
             instance.node.send_signal(signal.SIGHUP)
 
     def kill_upstream(self, instance, duration_s):
         with instance.lock:
-            instance.upstream.kill()
-            instance.upstream.wait()
+            instance.end("upstream", signal.SIGKILL, KILL_S)
             time.sleep(min(duration_s, 1.5))
             instance.start_upstream(same_identity=self.random.random() < 0.3)
 
     def drain_upstream(self, instance, _):
         with instance.lock:
-            instance.upstream.send_signal(signal.SIGUSR1)
-            wait_for_exit(instance.upstream, 12.0)
+            instance.end("upstream", signal.SIGUSR1, UPSTREAM_DRAIN_S)
             instance.start_upstream()
 
     def degrade_link(self, instance, duration_s):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,10 +1,11 @@
 """Runs real processes under random faults and checks what the project guarantees to its callers.
 
-usage: soak.py [--seed N] [--seconds S] [--instances N] [--callers N] [--stops N] [--keep]
+usage: soak.py [--seed N] [--seconds S] [--instances N] [--callers N] [--stops N] [--series N]
+               [--keep]
 
 Faults are injected for S seconds. Then all requests must be served again, and nodes are stopped in
-turn while callers go on (the calm phase). Exits with 1 on a violation, and then prints each one and
-the folder with the logs, the requests and the faults.
+turn while callers go on (the calm phase), then in series that overlap. Exits with 1 on a violation,
+and then prints each one and the folder with the logs, the requests, the faults and the stops.
 """
 
 import argparse
@@ -24,10 +25,18 @@
 import faults  # noqa: E402
 import fleet  # noqa: E402
 import checks  # noqa: E402
-from deployment import HOST, TIMEOUT_MS, Deployment, now  # noqa: E402
+from deployment import GRACE_S, HOST, LONG_TIMEOUT_MS, TIMEOUT_MS, Deployment, now  # noqa: E402
 
 RECOVERY_TIMEOUT_S = 15  # until every node serves again after the faults
 LAST_CALM_S = 4  # of the calm phase, after the last planned stop
+STOP_GAP_S = (0.05, 0.8)  # between two SIGTERMs of a series
+STOP_CALLERS = 60  # in a series, for all of its nodes
+LONG_WORK_SHARE = 0.03  # of the requests in general; they still fit into the time limit
+LONG_WORK_MS = (200, 1600)
+STOP_LONG_WORK_SHARE = 0.6  # of the requests to a node that stops
+STOP_LONG_WORK_MS = {"/long/x": (4000, 5500), "/status/x": (300, 4000), "/affirm/x": (300, 4000)}
+EARLY_S = 1.0  # of a series, in which half of its callers begin to send
+LIVE_SENDING_S = 3.0  # of a series, in which they send to nodes that are not stopped
 CONCURRENT_FAULTS = 3
 ANSWER_SLACK_S = 1.0  # callers wait this much longer than the request's deadline
 
@@ -43,24 +52,35 @@
         self.count = 0
         self.connection = None
         self.requests = []
+        self.paths = ["/status/x", "/affirm/x", "probe"]
+        self.long_work = (LONG_WORK_SHARE, dict.fromkeys(self.paths, LONG_WORK_MS))
+        self.work_random = random.Random(f"work {soak.seed} {number}")
 
     def run(self):
         while not self.soak.is_over:
             instance = self.soak.deployment.instances[
                 (self.number + self.count // 20) % len(self.soak.deployment.instances)]
-            self.send_request(instance, self.random.choice(["/status/x", "/affirm/x", "probe"]))
+            self.send_random_request(instance)
             time.sleep(self.random.uniform(0.0, 0.02))
 
+    def send_random_request(self, instance):
+        path = self.random.choice(self.paths)
+        share, ranges_ms = self.long_work
+        if path != "probe" and self.work_random.random() < share:
+            path = path.replace("x", f"work-{self.work_random.randint(*ranges_ms[path])}")
+        self.send_request(instance, path)
+
     def send_request(self, instance, path):
         self.count += 1
         request = {"id": f"c{self.number}-{self.count}", "body": "", "method": "GET", "probe": None,
-                   "start": instance.node.pid, "status": None, "answer": None, "signature": None,
-                   "error": "", "isCalm": self.soak.is_calm}
+                   "start": instance.node.pid, "entry": instance.node.pid, "status": None,
+                   "answer": None, "signature": None, "error": "", "phase": self.soak.phase}
         if path == "probe":
             request["probe"] = max(1, self.soak.deployment.version - self.random.choice([0, 0, 1]))
-            path = f"/probe-{request['probe']}/x"
-            request["isCalm"] = False  # The probed route may have been removed.
-        request["idempotent"] = not path.startswith("/affirm")
+            path = f"/probe-{request['probe']}/x"  # The probed route may have been removed.
+        request["idempotent"] = not path.startswith(("/affirm/", "/long/"))
+        limit_ms = LONG_TIMEOUT_MS if path.startswith("/long/") else TIMEOUT_MS
+        request["limit_s"] = limit_ms / 1000
         if not request["idempotent"]:
             request.update(method="POST", body=f"amount={self.count}")
         request.update(path=path, sent=now())
@@ -75,14 +95,21 @@
             request["start"] = None  # Restarted meanwhile: it is unknown which start answered.
         return request
 
+    def connect(self, instance):
+        host, port = instance.callers.split(":")
+        self.connection = (instance, http.client.HTTPConnection(
+            host, int(port), timeout=TIMEOUT_MS / 1000 + ANSWER_SLACK_S))
+        self.connection[1].connect()
+
     def exchange(self, instance, request):
         if self.connection is None or self.connection[0] is not instance:
-            host, port = instance.callers.split(":")
-            timeout = TIMEOUT_MS / 1000 + ANSWER_SLACK_S
-            self.connection = (instance,
-                               http.client.HTTPConnection(host, int(port), timeout=timeout))
+            self.connect(instance)
         connection = self.connection[1]
-        headers = {"Host": HOST, "X-Request-Id": request["id"], "X-Deadline-Ms": str(TIMEOUT_MS)}
+        connection.timeout = request["limit_s"] + ANSWER_SLACK_S
+        if connection.sock:
+            connection.sock.settimeout(connection.timeout)
+        headers = {"Host": HOST, "X-Request-Id": request["id"],
+                   "X-Deadline-Ms": str(round(request["limit_s"] * 1000))}
         connection.request(request["method"], request["path"], request["body"] or None, headers)
         response = connection.getresponse()
         answer = response.read().decode()
@@ -90,17 +117,40 @@
                        signature=response.headers.get("X-Server-Signature"))
 
 
+class StopCaller(Caller):
+    """Opens a connection to a node before a series of stops, keeps it idle until some moment of the
+    series and then sends requests to the node: until its process is gone, or for some seconds if
+    it isn't one of those that are stopped."""
+
+    def __init__(self, number, soak, instance, is_stopped):
+        super().__init__(number, soak)
+        self.instance = instance
+        self.process = instance.node
+        self.paths = [*self.paths, "/long/x", "/long/x"]
+        self.long_work = (STOP_LONG_WORK_SHARE, STOP_LONG_WORK_MS)
+        self.end = None if is_stopped else now() + LIVE_SENDING_S
+        self.wait_s = self.random.uniform(0.0, self.random.choice([EARLY_S, GRACE_S]))
+        self.start()
+
+    def run(self):
+        self.connect(self.instance)
+        time.sleep(self.wait_s)
+        while self.process.poll() is None and (self.end is None or now() < self.end):
+            self.send_random_request(self.instance)
+            time.sleep(self.random.uniform(0.0, 0.3))
+
+
 class Soak:
     def __init__(self, options, folder):
         self.seed = options.seed
         self.options = options
         self.random = random.Random(options.seed)
-        first_port = 10000 + options.seed % 20 * 1000
-        self.deployment = Deployment(options.instances, first_port, folder)
+        self.deployment = Deployment(options.instances, options.seed, folder)
         self.faults = faults.Faults(self.deployment, self.random)
         self.callers = [Caller(i, self) for i in range(options.callers)]
+        self.stop_callers = []
         self.is_over = False
-        self.is_calm = False
+        self.phase = "faults"  # then "calm", "stops" and "calm" again
 
     def run(self):
         """Runs the whole soak. Returns a text for each violation."""
@@ -114,17 +164,25 @@
             self.inject_faults(self.options.seconds)
             violations = self.check_recovery(prober)
             self.stop_nodes_in_turn()
+            violations += self.stop_nodes_in_series(prober)
+            self.phase = "calm"
+            time.sleep(LAST_CALM_S)
             self.is_over = True
             for caller in self.callers:
                 caller.join()
-            requests = [request for caller in [*self.callers, prober]
-                        for request in caller.requests]
-            self.record_unexpected_exits()
+            for instance in self.deployment.instances:
+                instance.report_if_ended("node")
+                instance.report_if_ended("upstream")
+            requests = self.requests() + prober.requests
             return violations + checks.Checks(self.deployment, requests).violations()
         finally:
             self.is_over = True
             self.deployment.close()
 
+    def requests(self):
+        return [request for caller in self.callers + self.stop_callers
+                for request in caller.requests]
+
     def serves_everywhere(self, prober):
         return all(prober.send_request(instance, path)["status"] == 200
                    for instance in self.deployment.instances for path in ("/status/x", "/affirm/x"))
@@ -159,20 +217,42 @@
 
     def stop_nodes_in_turn(self):
         """Stops and restarts some nodes, one after the other, while callers go on."""
-        self.is_calm = True
+        self.phase = "calm"
         for instance in self.deployment.instances[: self.options.stops]:
-            instance.node.send_signal(signal.SIGTERM)
-            faults.wait_for_exit(instance.node, 7.0)
-            instance.start_node()
+            self.restart(instance)
             fleet.wait_until(instance.is_ready, RECOVERY_TIMEOUT_S, f"readiness of {instance.name}")
-        time.sleep(LAST_CALM_S)
 
-    def record_unexpected_exits(self):
-        for instance in self.deployment.instances:
-            for role, process in (("node", instance.node), ("upstream", instance.upstream)):
-                if process.poll() is not None:
-                    self.deployment.unexpected_exits.append(
-                        f"{role} of {instance.name} ended with status {process.returncode}")
+    @staticmethod
+    def restart(instance):
+        instance.end("node", signal.SIGTERM, GRACE_S)
+        instance.start_node()
+
+    def stop_nodes_in_series(self, prober):
+        """Stops some to most of the nodes, each a fraction of a second after the one before, while
+        callers go on, also with the nodes that stop. Returns a text for each violation."""
+        self.phase = "stops"
+        drawn = random.Random(f"stops {self.seed}")
+        instances = self.deployment.instances
+        for _ in range(self.options.series):
+            stopped = drawn.sample(instances, drawn.randint(2, max(2, len(instances) - 1)))
+            threads = []
+            for instance in instances:
+                for _ in range(max(1, STOP_CALLERS // len(instances))):
+                    number = len(self.callers) + 1 + len(self.stop_callers)
+                    self.stop_callers.append(StopCaller(number, self, instance,
+                                                        instance in stopped))
+            for instance in stopped:
+                threads.append(threading.Thread(target=self.restart, args=(instance,)))
+                threads[-1].start()
+                time.sleep(drawn.uniform(*STOP_GAP_S))
+            for thread in threads + self.stop_callers:
+                thread.join()
+            try:
+                fleet.wait_until(lambda: self.serves_everywhere(prober), RECOVERY_TIMEOUT_S,
+                                 "service of every node after a series of stops")
+            except TimeoutError as error:
+                return [f"series: {error}"]
+        return []
 
 
 def main():
@@ -183,13 +263,15 @@
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--stops", type=int, default=2,
                         help="nodes that are stopped in turn in the calm phase")
+    parser.add_argument("--series", type=int, default=2,
+                        help="series of stops that overlap, after these")
     parser.add_argument("--keep", action="store_true",
                         help="keep the logs of a run without violations too")
     options = parser.parse_args()
     folder = tempfile.mkdtemp(prefix=f"soak-{options.seed}-")
     soak = Soak(options, folder)
     violations = soak.run()
-    requests = [request for caller in soak.callers for request in caller.requests]
+    requests = soak.requests()
     statuses = {}
     for request in requests:
         statuses[request["status"]] = statuses.get(request["status"], 0) + 1
@@ -198,6 +280,7 @@
     if violations or options.keep:
         pathlib.Path(folder, "requests.json").write_text(json.dumps(requests))
         pathlib.Path(folder, "faults.json").write_text(json.dumps(soak.faults.log))
+        pathlib.Path(folder, "stops.json").write_text(json.dumps(soak.deployment.stops))
         print(f"logs: {folder}")
     else:
         shutil.rmtree(folder)
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -2,14 +2,16 @@
 
 usage: upstream.py PORT REPORTED-ADDRESS IDENTITY SERVICE ADMIN-ADDRESS LEDGER-FILE
 
-The ledger holds a JSON line for each execution, written before the work starts, and one for the
-time at which the node acknowledged that the upstream drains. On SIGUSR1 the upstream reports
+The ledger holds a JSON line for each execution, written before the work starts, one for each that
+the deadline ends, with how late that was, and one for the time at which the node acknowledged that
+the upstream drains. On SIGUSR1 the upstream reports
 "draining", goes on serving for DRAIN_S, deregisters and exits.
 """
 
 import json
 import pathlib
 import random
+import re
 import signal
 import sys
 import threading
@@ -44,9 +46,21 @@
         self.write(run=request_id, method=method, path=path, body=body.decode())
 
 
+class SoakUpstream(Upstream):
+    """Works for the time that a request's path names (work-MILLISECONDS), if it names one."""
+
+    def work_s_of(self, path):
+        named = re.search(r"/work-(\d+)$", path)
+        return int(named[1]) / 1000 if named else self.work_s
+
+    def record_end(self, request_id, past_deadline_s):
+        if past_deadline_s > 0:
+            self.executions.write(late=request_id, s=past_deadline_s)
+
+
 def main():
     port, reported, identity, service, admin, ledger_path = sys.argv[1:]
-    upstream = Upstream(int(port), identity, service, admin)
+    upstream = SoakUpstream(int(port), identity, service, admin)
     upstream.address = reported
     ledger = upstream.executions = Ledger(ledger_path, identity)
     draining = threading.Event()
