Failing test: an upstream's answer just after a stop's deadline is given up

A call on a stopping node gets a shorter time limit, the upstream ends it with its own 504 and writes that in two parts: the second one arrives 40 ms and more later (Nagle's algorithm, a delayed acknowledgement). UpstreamTask::tick (src/upstream/upstream.cpp:84) ends the run 50 ms after its deadline, the caller gets the node's own 504 ("answer-lost") at 5.10 s after SIGTERM, although it is due only at 5.20 s.

--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -20,6 +20,11 @@
 # A caller that reads nothing for so long, more than an idle node takes to stop, still has time left
 # to read its response before the kill.
 SLOW_CALLER_S = 3.5
+# Before an idle process ends; its end is nearer than the time limit of 3 s of a request sent now.
+SENT_LATE_S = 2.4
+# An upstream that writes an answer in two parts sends the second one so much later (Nagle's
+# algorithm and a delayed acknowledgement take 40 ms).
+LATE_ANSWER_S = 0.08
 ROUTES = [("swap.example", "/status/", "safe", "tracker", 2500),
           ("swap.example", "/affirm/", "unsafe", "affirmer", 3000)]
 
@@ -100,6 +105,19 @@
         self.assertEqual((request.status, request.error), (504, ""))
         self.assertEqual(self.nodes[0].process.wait(timeout=GRACE_S), 0)
 
+    def test_an_answer_that_arrives_shortly_after_the_deadline_is_passed_on(self):
+        for node in self.nodes:
+            node.upstream.work_s = 7.0
+            node.upstream.record_end = lambda *_: time.sleep(LATE_ANSWER_S)
+        self.nodes[0].process.send_signal(signal.SIGTERM)
+        start = time.monotonic()
+        time.sleep(SENT_LATE_S)
+        request = Request(self.nodes[0], 0, time.monotonic() - start)
+        request.join()
+        self.assertEqual((request.status, request.signature, request.error),
+                         (504, "sig-s0", ""))
+        self.assertEqual(self.nodes[0].process.wait(timeout=GRACE_S), 0)
+
     def test_a_response_that_is_being_written_is_not_cut_by_the_end_of_the_process(self):
         size = 12 << 20  # more than the sockets' buffers hold
         for node in self.nodes:
