Wait 150 ms after its deadline for an upstream's own answer

The 50 ms left no room for an answer whose second part waits for a delayed acknowledgement (40 ms) on a busy machine.

Change: lateAnswerAllowance is 150 ms, as much as a StopSchedule leaves between the end of executions and the answers to callers.

--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -17,8 +17,10 @@
 /// Longest time between two searches for idle connections to close.
 constexpr Duration idleCheckInterval = std::chrono::milliseconds(500);
 /// How long after the deadline of a job the upstream's own answer, which it sends at the deadline,
-/// may arrive before the job is ended without one.
-constexpr Duration lateAnswerAllowance = std::chrono::milliseconds(50);
+/// may arrive before the job is ended without one. Covers an answer in two parts, of which the
+/// second waits for a delayed acknowledgement; a StopSchedule leaves as much time behind
+/// executions.
+constexpr Duration lateAnswerAllowance = std::chrono::milliseconds(150);
 
 UpstreamResult::End toResultEnd(UpstreamCodec::ResponseKind kind)
 {
