--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -57,7 +57,7 @@
 
 
 class PlannedStops(PlatformTestCase):
-    first_port = 28000 + (os.getpid() % 100) * 32
+    first_port = 26560 + (os.getpid() % 40) * 32
 
     def setUp(self):
         super().setUp()
