--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace buckthornford {
@@ -15,10 +16,10 @@
 
 namespace {
 
-constexpr std::uint32_t maxResponseHeadBytes = 65536;
-constexpr std::uint64_t maxResponseBodyBytes = 128ULL << 20U;
 constexpr int firstFinalStatus = 200;
 constexpr int firstErrorStatus = 400;
+/// Error responses after which a connection is closed, which bounds the ids that it remembers.
+constexpr std::size_t maxErrorsPerConnection = 64;
 
 std::string serializeRequest(const ClientRequest &request)
 {
@@ -48,26 +49,74 @@
     return std::chrono::seconds(seconds);
 }
 
+/// Returns the id by which a response to \a request is matched; nullptr if there is none.
+const std::string *idOf(const ClientRequest &request)
+{
+    return request.idHeader.empty() ? nullptr : findHeader(request.headers, request.idHeader);
+}
+
 } // namespace
 
 struct ClientConnection::Parser : http::response_parser<http::string_body>
 {};
 
-ClientConnection::ClientConnection(EventLoop *loop)
-    : m_socket(*loop)
+void ResponseMemory::hold(ClientConnection *connection, Bytes size)
+{
+    Bytes &known = m_sizes.try_emplace(connection, 0).first->second;
+    m_held = Bytes{m_held.value() - known.value() + size.value()};
+    known = size;
+    if (m_held.value() <= m_limit.value())
+        return;
+    const auto largest
+            = std::max_element(m_sizes.begin(), m_sizes.end(), [](const auto &a, const auto &b) {
+                  return a.second.value() < b.second.value();
+              });
+    largest->first->endExchange(ClientResponse::End::Truncated);
+}
+
+void ResponseMemory::release(ClientConnection *connection)
+{
+    const auto found = m_sizes.find(connection);
+    if (found == m_sizes.end())
+        return;
+    m_held = Bytes{m_held.value() - found->second.value()};
+    m_sizes.erase(found);
+}
+
+ClientConnection::ClientConnection(EventLoop *loop, const HttpClientLimits &limits,
+                                   std::shared_ptr<ResponseMemory> memory)
+    : m_limits(limits)
+    , m_memory(std::move(memory))
+    , m_socket(*loop)
 {}
 
-ClientConnection::~ClientConnection() = default;
+ClientConnection::~ClientConnection()
+{
+    if (m_memory)
+        m_memory->release(this);
+}
 
 bool ClientConnection::isReusable() const
 {
     return m_isConnected && !m_isUnusable && !m_handler;
 }
 
+bool ClientConnection::hasCarriedErrorFor(const ClientRequest &request) const
+{
+    const std::string *id = idOf(request);
+    return id != nullptr
+           && std::find(m_idsOfErrors.begin(), m_idsOfErrors.end(), checksum(*id))
+                      != m_idsOfErrors.end();
+}
+
 void ClientConnection::close()
 {
     ++m_generation;
     m_handler = nullptr;
+    m_parser.reset();
+    std::string().swap(m_readBuffer);
+    if (m_memory)
+        m_memory->release(this);
     m_isConnected = false;
     boost::system::error_code ignored;
     m_socket.close(ignored);
@@ -79,6 +128,8 @@
     m_handler = std::move(handler);
     m_writeBuffer = serializeRequest(m_request);
     m_isRequestWritten = false;
+    m_receivedBytes = 0;
+    m_skippedResponseCount = 0;
     if (m_isConnected)
         write();
     else
@@ -91,6 +142,8 @@
     const auto address = boost::asio::ip::make_address_v4(server.host, error);
     m_socket = tcp::socket(m_socket.get_executor());
     m_isUnusable = false;
+    m_isFirstExchange = true;
+    m_idsOfErrors.clear();
     const std::uint64_t generation = ++m_generation;
     m_socket.async_connect(
             tcp::endpoint(address, server.port),
@@ -98,9 +151,7 @@
                 if (generation != self->m_generation)
                     return;
                 if (failure) {
-                    ClientResponse response;
-                    response.end = ClientResponse::End::NotConnected;
-                    self->completeExchange(std::move(response));
+                    self->endExchange(ClientResponse::End::NotConnected);
                     return;
                 }
                 self->m_isConnected = true;
@@ -139,7 +190,9 @@
 void ClientConnection::readBytes()
 {
     const std::uint64_t generation = m_generation;
+    const std::size_t unparsedBytes = m_readBuffer.size();
     const ReadState state = readAvailable(&m_socket, &m_readBuffer);
+    m_receivedBytes += m_readBuffer.size() - unparsedBytes;
     if (!m_handler) {
         // Bytes or an EOF between exchanges belong to no request.
         if (state != ReadState::Open || !m_readBuffer.empty()) {
@@ -156,33 +209,74 @@
         waitForBytes();
 }
 
+void ClientConnection::createParser()
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.header.value()));
+    m_parser->body_limit(m_limits.body.value());
+    m_parser->skip(m_request.method == "HEAD");
+}
+
+/// Beast itself bounds the head and the body of one response, but neither the extensions of a
+/// chunk, the trailers nor the responses that are skipped.
+bool ClientConnection::exceedsLimits() const
+{
+    return m_readBuffer.size() > m_limits.header.value()
+           || m_receivedBytes > m_limits.received.value()
+           || m_skippedResponseCount > m_limits.skippedResponses;
+}
+
 void ClientConnection::parse()
 {
-    while (m_handler && !m_readBuffer.empty()) {
-        if (!m_parser) {
-            m_parser = std::make_unique<Parser>();
-            m_parser->eager(true);
-            m_parser->header_limit(maxResponseHeadBytes);
-            m_parser->body_limit(maxResponseBodyBytes);
-            m_parser->skip(m_request.method == "HEAD");
-        }
+    bool needsMore = false;
+    while (m_handler && !m_readBuffer.empty() && !needsMore) {
+        if (!m_parser)
+            createParser();
+        // Beast loses the error of a Content-Length beyond the body limit if it goes on at once
+        // with the bytes behind the head.
+        m_parser->eager(m_parser->is_header_done());
         boost::system::error_code error;
         const std::size_t used = m_parser->put(boost::asio::buffer(m_readBuffer), error);
         m_readBuffer.erase(0, used);
         if (error && error != http::error::need_more) {
-            ClientResponse response;
-            response.end = ClientResponse::End::Truncated;
-            m_isUnusable = true;
-            completeExchange(std::move(response));
+            endExchange(ClientResponse::End::Truncated);
             return;
         }
-        if (m_parser->is_done()) {
-            if (takeResponse())
-                return;
-        } else if (used == 0 || error) {
+        if (!m_parser->is_done())
+            needsMore = used == 0 || error;
+        else if (takeResponse())
             return;
-        }
+        else
+            needsMore = ++m_skippedResponseCount > m_limits.skippedResponses;
     }
+    if (m_handler && exceedsLimits())
+        endExchange(ClientResponse::End::Truncated);
+    else if (m_handler && m_memory)
+        reportHeldMemory();
+}
+
+void ClientConnection::reportHeldMemory()
+{
+    const std::size_t bodySize = m_parser ? m_parser->get().body().size() : 0;
+    m_memory->hold(this, Bytes{m_readBuffer.size() + bodySize});
+}
+
+ClientConnection::Match ClientConnection::match(const ClientResponse &response) const
+{
+    if (m_request.idHeader.empty())
+        return Match::Current;
+    const std::string *sent = idOf(m_request);
+    const std::string *echoed = findHeader(response.headers, m_request.idHeader);
+    if (echoed != nullptr) {
+        if (sent == nullptr || *sent != *echoed)
+            return Match::Other;
+        return hasCarriedErrorFor(m_request) ? Match::Uncertain : Match::Current;
+    }
+    // An error response may come from a front of the server that doesn't repeat the id; a success
+    // without the id is not taken.
+    if (response.status < firstErrorStatus || m_isUnusable)
+        return Match::Other;
+    return m_isFirstExchange ? Match::Current : Match::Uncertain;
 }
 
 /// Takes the parsed response and completes the exchange with it. Returns false if it is not the
@@ -196,27 +290,26 @@
     response.status = static_cast<int>(message.result_int());
     if (response.status < firstFinalStatus)
         return false;
-    HttpHeaders headers;
     for (const auto &field : message)
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    if (!m_request.idHeader.empty()) {
-        const std::string *sent = findHeader(m_request.headers, m_request.idHeader);
-        const std::string *echoed = findHeader(headers, m_request.idHeader);
-        // An error response may come from a front of the server that doesn't repeat the id; a
-        // success without the id is not taken.
-        const bool mayOmitId = response.status >= firstErrorStatus && !m_isUnusable;
-        const bool isForThisRequest
-                = echoed != nullptr ? sent != nullptr && *sent == *echoed : mayOmitId;
-        if (!isForThisRequest) {
-            m_isUnusable = true;
-            return false;
-        }
+        response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    const Match matched = match(response);
+    if (matched == Match::Other) {
+        m_isUnusable = true;
+        return false;
+    }
+    if (matched == Match::Uncertain) {
+        endExchange(ClientResponse::End::Unmatched);
+        return true;
     }
-    if (const std::string *field = findHeader(headers, "Keep-Alive"))
+    if (const std::string *field = findHeader(response.headers, "Keep-Alive"))
         m_keepAliveTimeout = parseKeepAliveTimeout(*field);
-    response.headers = endToEndHeaders(std::move(headers));
+    const std::string *id = idOf(m_request);
+    if (id != nullptr && response.status >= firstErrorStatus)
+        m_idsOfErrors.push_back(checksum(*id));
+    response.headers = endToEndHeaders(std::move(response.headers));
     response.body = std::move(message.body());
-    m_isUnusable = m_isUnusable || serverCloses || !m_readBuffer.empty() || !m_isRequestWritten;
+    m_isUnusable = m_isUnusable || serverCloses || !m_readBuffer.empty() || !m_isRequestWritten
+                   || m_idsOfErrors.size() >= maxErrorsPerConnection;
     completeExchange(std::move(response));
     return true;
 }
@@ -232,18 +325,28 @@
                 return;
         }
     }
-    ClientResponse response;
     const bool hasHead = m_parser && m_parser->is_header_done();
-    response.end = hasHead ? ClientResponse::End::Truncated : ClientResponse::End::ConnectionLost;
+    endExchange(hasHead ? ClientResponse::End::Truncated : ClientResponse::End::ConnectionLost);
+}
+
+/// Ends the exchange without a response and closes the connection.
+void ClientConnection::endExchange(ClientResponse::End end)
+{
+    ClientResponse response;
+    response.end = end;
     m_isUnusable = true;
     completeExchange(std::move(response));
 }
 
 void ClientConnection::completeExchange(ClientResponse response)
 {
+    const auto self = shared_from_this(); // The handler may drop the connection.
     const Handler handler = std::exchange(m_handler, nullptr);
     m_parser.reset();
+    if (m_memory)
+        m_memory->release(this);
     m_request = {};
+    m_isFirstExchange = false;
     if (response.end != ClientResponse::End::Answered || m_isUnusable) {
         m_readBuffer.clear();
         close();
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE http1
 #include "http1/http1.h"
+#include "http1/tests/flood_server.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -168,6 +169,17 @@
     BOOST_TEST(received().find("HTTP/1.1 413") == 0U);
 }
 
+/// The body's first bytes look like the end of a head.
+BOOST_FIXTURE_TEST_CASE(oversizedBodyIsNotReadAsAHead, ServerFixture)
+{
+    for (const std::string body : {"A: b\r\n\r\nhello", "\r\nhello", "A: b\r\nhello"}) {
+        connect();
+        send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\n" + body);
+        BOOST_TEST(received().find("HTTP/1.1 413") == 0U, body);
+    }
+    BOOST_TEST(events.requests.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(incompleteRequestGets408AfterTheHeaderTimeout, ServerFixture)
 {
     HttpServerLimits limits;
@@ -201,34 +213,64 @@
         : acceptor(loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0})
     {}
 
-    /// Sends one request, has the server write \a bytes and, if \a closesAfter, close the
-    /// connection. Returns the result that the client reports.
+    /// Sends one request on a new connection, has the server write \a bytes and, if
+    /// \a closesAfter, close the connection. Returns the result that the client reports.
     ClientResponse exchange(const std::string &bytes, bool closesAfter)
     {
-        connection = std::make_shared<ClientConnection>(&loop);
-        std::optional<ClientResponse> result;
+        connection.reset();
+        peer = tcp::socket(loop);
+        start("7");
+        boost::asio::write(peer, boost::asio::buffer(bytes));
+        if (closesAfter)
+            peer.shutdown(tcp::socket::shutdown_both);
+        loop.run_for(std::chrono::milliseconds(50));
+        BOOST_REQUIRE(result.has_value());
+        return *result;
+    }
+
+    /// Starts the exchange of a request with \a id on the connection, which is kept.
+    void start(const std::string &id)
+    {
+        if (!connection)
+            connection = std::make_shared<ClientConnection>(&loop);
         ClientRequest request;
         request.method = "GET";
         request.target = "/";
-        request.headers = {{"Host", "h"}, {"X-Id", "7"}};
+        request.headers = {{"Host", "h"}, {"X-Id", id}};
         request.idHeader = "X-Id";
+        result.reset();
         connection->exchange({"127.0.0.1", acceptor.local_endpoint().port()}, request,
-                             [&result](ClientResponse response) { result = std::move(response); });
+                             [this](ClientResponse response) { result = std::move(response); });
         loop.run_for(std::chrono::milliseconds(20));
-        tcp::socket socket = acceptor.accept();
+        if (!peer.is_open())
+            peer = acceptor.accept();
         loop.run_for(std::chrono::milliseconds(20));
-        boost::asio::write(socket, boost::asio::buffer(bytes));
-        if (closesAfter)
-            socket.shutdown(tcp::socket::shutdown_both);
+    }
+
+    /// Exchanges a request with \a id on the kept connection; the server writes \a bytes.
+    ClientResponse exchangeNext(const std::string &id, const std::string &bytes)
+    {
+        start(id);
+        boost::asio::write(peer, boost::asio::buffer(bytes));
         loop.run_for(std::chrono::milliseconds(50));
         BOOST_REQUIRE(result.has_value());
         return *result;
     }
 
     tcp::acceptor acceptor;
+    tcp::socket peer{loop}; ///< the server's end of the kept connection
     std::shared_ptr<ClientConnection> connection;
+    std::optional<ClientResponse> result;
 };
 
+std::string refusalOf(const std::string &id)
+{
+    return "HTTP/1.1 503 Full\r\nX-Id: " + id + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+const std::string refusalWithoutId
+        = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string headWithoutLength = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\n";
 const std::string matchingResponse = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok";
 const std::string mismatchedResponse = "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 3\r\n\r\nold";
 
@@ -282,6 +324,190 @@
     BOOST_TEST((exchange("nonsense\r\n\r\n", false).end == ClientResponse::End::Truncated));
 }
 
+BOOST_FIXTURE_TEST_CASE(refusalWithoutAnIdOnAKeptConnectionIsNotTaken, ClientFixture)
+{
+    BOOST_TEST(exchangeNext("7", matchingResponse).body == "ok");
+    BOOST_TEST((exchangeNext("8", refusalWithoutId).end != ClientResponse::End::Answered));
+    BOOST_TEST(!connection->isReusable());
+}
+
+BOOST_FIXTURE_TEST_CASE(refusalSentAgainForTheSameRequestIsNotTaken, ClientFixture)
+{
+    BOOST_TEST(exchangeNext("7", refusalOf("7")).status == 503);
+    BOOST_TEST((exchangeNext("7", refusalOf("7")).end != ClientResponse::End::Answered));
+    BOOST_TEST(!connection->isReusable());
+}
+
+BOOST_FIXTURE_TEST_CASE(refusalOfAnEarlierRequestIsSkippedOnAKeptConnection, ClientFixture)
+{
+    BOOST_TEST(exchangeNext("6", refusalOf("6")).status == 503);
+    BOOST_TEST(exchangeNext("7", refusalOf("6") + refusalWithoutId + matchingResponse).body
+               == "ok");
+    BOOST_TEST(!connection->isReusable());
+}
+
+BOOST_FIXTURE_TEST_CASE(refusalWithoutAnIdOnAFreshConnectionIsTaken, ClientFixture)
+{
+    BOOST_TEST(exchangeNext("7", refusalWithoutId).status == 503);
+    BOOST_TEST(connection->isReusable());
+}
+
+BOOST_FIXTURE_TEST_CASE(refusalsWithTheirIdsAreTakenOnAKeptConnection, ClientFixture)
+{
+    for (const std::string id : {"5", "6", "7"})
+        BOOST_TEST(exchangeNext(id, refusalOf(id)).status == 503);
+    BOOST_TEST(connection->isReusable());
+}
+
+BOOST_FIXTURE_TEST_CASE(connectionWithManyErrorsIsClosed, ClientFixture)
+{
+    for (int i = 1; i <= 64; ++i) {
+        BOOST_TEST(exchangeNext(std::to_string(i), refusalOf(std::to_string(i))).status == 503);
+        BOOST_TEST(connection->isReusable() == (i < 64));
+    }
+}
+
+namespace {
+
+struct EndlessResponse
+{
+    std::string name;
+    std::string prefix;
+    std::string unit;
+};
+
+std::vector<EndlessResponse> endlessResponses()
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    return {{"status line", "HTTP/1.1 200 ", "a"},
+            {"bytes that are no response", "", "a"},
+            {"header line", head + "X-Long: ", "a"},
+            {"header lines", head, "A: b\r\n"},
+            {"informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"responses with another id", "", mismatchedResponse},
+            {"chunks", chunked, "1000\r\n" + std::string(4096, 'a') + "\r\n"},
+            {"chunk extension", chunked + "5;", "a"},
+            {"chunks with long extensions", chunked, "1;" + std::string(50'000, 'a') + "\r\nb\r\n"},
+            {"trailers", chunked + "0\r\n", "A: b\r\n"},
+            {"body without a length", head + "\r\n", "a"},
+            {"body with a huge length", head + "Content-Length: 99999999999\r\n\r\n", "a"},
+            {"body with a length out of range",
+             head + "Content-Length: 99999999999999999999999\r\n\r\n", "a"}};
+}
+
+/// Longest time in which the loop ran no timer.
+struct StallMeter
+{
+    explicit StallMeter(EventLoop *loop)
+        : timer(*loop)
+    {
+        arm();
+    }
+
+    void arm()
+    {
+        const TimePoint start = monotonicNow();
+        timer.expires_after(interval);
+        timer.async_wait([this, start](const boost::system::error_code &error) {
+            if (error)
+                return;
+            longest = std::max(longest, monotonicNow() - start - interval);
+            arm();
+        });
+    }
+
+    static constexpr Duration interval = std::chrono::milliseconds(5);
+    boost::asio::steady_timer timer;
+    Duration longest{0};
+};
+
+} // namespace
+
+/// Others are served meanwhile, and the bytes that the server can write stay bounded.
+BOOST_FIXTURE_TEST_CASE(responsesWithoutEndEndTheirExchange, ServerFixture)
+{
+    constexpr std::size_t floodBytes = 256U << 20U;
+    constexpr std::size_t maxWritten = 80U << 20U; // 64 MiB and what the sockets' buffers hold
+    FloodServer good(matchingResponse, "", 0);
+    for (const EndlessResponse &endless : endlessResponses()) {
+        BOOST_TEST_CONTEXT(endless.name)
+        {
+            FloodServer flood(endless.prefix, endless.unit, floodBytes);
+            StallMeter meter(&loop);
+            ClientRequest request;
+            request.method = "POST";
+            request.target = "/";
+            request.headers = {{"Host", "h"}, {"X-Id", "7"}};
+            request.idHeader = "X-Id";
+            const auto exchangeWith = [this, &request](const FloodServer &to,
+                                                       std::optional<ClientResponse> *result) {
+                const auto connection = std::make_shared<ClientConnection>(&loop);
+                connection->exchange(
+                        {"127.0.0.1", to.port()}, request,
+                        [result](ClientResponse response) { *result = std::move(response); });
+                return connection;
+            };
+            std::optional<ClientResponse> result;
+            std::optional<ClientResponse> goodResult;
+            const auto connection = exchangeWith(flood, &result);
+            const auto goodConnection = exchangeWith(good, &goodResult);
+            for (int i = 0; i < 600 && !(result && goodResult); ++i)
+                loop.run_for(std::chrono::milliseconds(10));
+            BOOST_TEST((goodResult && goodResult->body == "ok"));
+            BOOST_TEST((result
+                        && (result->end == ClientResponse::End::Truncated
+                            || result->end == ClientResponse::End::ConnectionLost)));
+            BOOST_TEST(!connection->isReusable());
+            BOOST_TEST(flood.written() <= maxWritten);
+            BOOST_TEST(toMilliseconds(meter.longest) < 500.0);
+            connection->close();
+            goodConnection->close();
+            loop.run_for(std::chrono::milliseconds(1));
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(longestResponseEndsWhenAllTogetherHoldTooMuch, ClientFixture)
+{
+    const auto memory = std::make_shared<ResponseMemory>(Bytes{1'000'000});
+    std::vector<std::shared_ptr<ClientConnection>> connections;
+    std::vector<tcp::socket> peers;
+    const auto send = [this](tcp::socket *to, std::size_t size) {
+        const std::string body(size, 'a');
+        std::size_t sent = 0;
+        to->non_blocking(true);
+        while (sent < size) {
+            boost::system::error_code full; // The client reads while the loop runs.
+            sent += to->write_some(boost::asio::buffer(body.data() + sent, size - sent), full);
+            loop.run_for(std::chrono::milliseconds(2));
+        }
+        loop.run_for(std::chrono::milliseconds(20));
+    };
+    for (const std::size_t size : {300'000U, 500'000U, 100'000U}) {
+        connection = std::make_shared<ClientConnection>(&loop, HttpClientLimits{}, memory);
+        peer = tcp::socket(loop);
+        start("7");
+        boost::asio::write(peer, boost::asio::buffer(headWithoutLength));
+        connections.push_back(connection);
+        peers.push_back(std::move(peer));
+        send(&peers.back(), size);
+    }
+    BOOST_TEST(memory->held().value() == 900'000U);
+    result.reset();
+    send(&peers[0], 150'000);
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result->end == ClientResponse::End::Truncated));
+    BOOST_TEST(memory->held().value() == 550'000U);
+    result.reset();
+    peers[0].shutdown(tcp::socket::shutdown_both);
+    loop.run_for(std::chrono::milliseconds(20));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result->body.size() == 450'000U);
+    connections[2]->close();
+    BOOST_TEST(memory->held().value() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(hopByHopFieldsAreRemoved)
 {
     const HttpHeaders kept = endToEndHeaders({{"Host", "h"},
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -18,6 +18,9 @@
 constexpr Duration listingInterval = std::chrono::seconds(1); ///< while no other node is known
 /// By then, nodes that start together have stored their rows.
 constexpr Duration bootstrapListingDelay = std::chrono::milliseconds(600);
+/// The store responds with at most 500 rows or 1 MB.
+constexpr HttpClientLimits responseLimits{.body = Bytes{8U << 20U}, .received = Bytes{12U << 20U}};
+constexpr Bytes maxResponseMemory{16U << 20U}; ///< of all responses in progress
 constexpr Duration idleInterval = std::chrono::seconds(1);
 /// A node writes its row again after this time, in case other nodes took it for dead and removed
 /// the row. It is half of the lifetime of a tombstone (Membership::Settings::tombstoneLifetime).
@@ -31,6 +34,7 @@
     : LoopTask(loop)
     , m_store(store)
     , m_codec(std::move(codec))
+    , m_responseMemory(std::make_shared<ResponseMemory>(maxResponseMemory))
     , m_random(seed)
     , m_callbacks(std::move(callbacks))
 {
@@ -141,7 +145,8 @@
     call.deadline = now + callTimeout + (isWatch ? m_watchTimeout : Duration{0});
     const std::uint64_t attempt = ++call.attempt;
     if (!call.connection || !call.connection->isReusable())
-        call.connection = std::make_shared<ClientConnection>(&loop());
+        call.connection
+                = std::make_shared<ClientConnection>(&loop(), responseLimits, m_responseMemory);
     call.connection->enableTcpKeepAlive();
     ++m_callCount;
     call.connection->exchange(m_store, makeRequest(kind),
@@ -157,14 +162,19 @@
                               });
 }
 
+void StoreTask::endCall(CallState *call)
+{
+    ++call->attempt; // A response to this attempt that arrives later is ignored.
+    call->isRunning = false;
+    if (call->connection)
+        call->connection->close();
+    call->connection.reset();
+}
+
 void StoreTask::failCall(CallKind kind, TimePoint now)
 {
     CallState &call = m_calls[kind];
-    ++call.attempt; // A response to this attempt that arrives later is ignored.
-    call.isRunning = false;
-    if (call.connection)
-        call.connection->close();
-    call.connection.reset();
+    endCall(&call);
     updateReachable(false);
     call.backoff = std::clamp(2 * call.backoff, minBackoff, maxBackoff);
     // Random, so that the nodes of the fleet do not all retry at the same time.
@@ -172,9 +182,42 @@
     call.nextStart = now + scaled(call.backoff, jitter(m_random));
 }
 
+void StoreTask::startEra(StoreEra era, CallKind noticedBy, TimePoint now)
+{
+    m_era = era;
+    // A watch in progress asks for changes since a version of the lost history.
+    CallState &watch = m_calls[ReadConfiguration];
+    if (watch.isRunning && noticedBy != ReadConfiguration)
+        endCall(&watch);
+    m_isWatching = false;
+    watch.nextStart = now;
+    // The row of this node, or its removal, may be lost as well.
+    CallState &row = m_calls[WriteOwnRow];
+    if (row.isRunning && noticedBy != WriteOwnRow)
+        endCall(&row);
+    row.isScheduled = m_self.has_value();
+    row.nextStart = now;
+}
+
 void StoreTask::finishCall(CallKind kind, const StoreResponse &response, TimePoint now)
 {
     CallState &call = m_calls[kind];
+    const bool isLate = response.era && m_era && *response.era < *m_era;
+    if (isLate) {
+        failCall(kind, now);
+        return;
+    }
+    const bool isNewEra = response.era && m_era && *response.era > *m_era;
+    const bool isWatch = kind == ReadConfiguration && m_isWatching;
+    if (isNewEra)
+        startEra(*response.era, kind, now);
+    else if (response.era)
+        m_era = response.era;
+    if (isNewEra && isWatch) {
+        // What has changed since a version of the lost history says nothing.
+        call.isRunning = false;
+        return;
+    }
     if (response.state == StoreResponse::State::Compacted && kind == ReadConfiguration) {
         call.isRunning = false;
         m_isWatching = false;
@@ -213,11 +256,11 @@
 
 void StoreTask::publishConfiguration(const StoreResponse &response)
 {
-    m_storeVersion = std::max(m_storeVersion, response.version);
+    m_storeVersion = response.version;
     m_isWatching = true;
     for (const StoredRow &row : response.rows) {
         if (m_codec->isConfiguration(row) && !row.isDeleted)
-            m_callbacks.configuration(row.value);
+            m_callbacks.configuration(row.value, response.era);
     }
 }
 
