Count messages between tasks before a stopped process ends as idle

What callers would see: 502 for a request that was served, or a run that is dropped although the node could still have refused it, when its message lies between two tasks at the very moment of the check.

Cause: isIdle() asked the tasks for their state, but not for messages that are posted and not yet handled, such as the answer of a run that the proxy task has just handed to the mesh.

--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -56,6 +56,9 @@
         });
     }
 
+    /// Whether messages wait to be handled.
+    bool hasMessages() const { return !m_messages.empty(); }
+
 protected:
     EventLoop &loop() { return *m_loop; }
 
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -377,10 +377,13 @@
         store->post(DeregisterSelf{});
 }
 
-/// Returns whether nothing is in progress and all answers have been passed to their sockets.
+/// Returns whether nothing is in progress, on its way between the tasks or not yet passed to a
+/// socket.
 bool ServiceNode::Private::isIdle() const
 {
-    return proxy->isIdle() && callerServer->unansweredCount() == 0
+    const bool hasMessages = proxy->hasMessages() || callerServer->hasMessages()
+                             || mesh->hasMessages() || upstream->hasMessages();
+    return !hasMessages && proxy->isIdle() && callerServer->unansweredCount() == 0
            && mesh->unsentStreamCount() == 0;
 }
 
