Cut the time of queued runs too when their node stops

What callers would see: 502 for a request that waited at its target's node when that node got SIGTERM and was then started with more time than the node has left.

Change: the stop request brings the deadlines of queued runs forward to the schedule's executionsDueBy(). The test holds a run back until all slots are taken, stops the node and frees one.

--- a/src/admission_controller/admission_controller.cpp
+++ b/src/admission_controller/admission_controller.cpp
@@ -80,6 +80,14 @@
     return actions;
 }
 
+void AdmissionController::endQueuedBy(TimePoint deadline)
+{
+    for (auto &[id, execution] : m_executions) {
+        if (!execution.isRunning)
+            execution.deadline = std::min(execution.deadline, deadline);
+    }
+}
+
 AdmissionActions AdmissionController::cancelStream(std::uint64_t stream, TimePoint now)
 {
     AdmissionActions actions;
--- a/src/admission_controller/admission_controller.h
+++ b/src/admission_controller/admission_controller.h
@@ -134,6 +134,10 @@
     /// Refuses all queued requests, so that other targets can run them.
     AdmissionActions refuseQueued(Error reason);
 
+    /// Brings the deadlines of all queued requests forward to \a deadline at the latest, because
+    /// the node stops.
+    void endQueuedBy(TimePoint deadline);
+
     /// Cancels the queued and the idempotent requests of \a stream, which has ended. They can run
     /// again at another target; other running requests continue.
     AdmissionActions cancelStream(std::uint64_t stream, TimePoint now);
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -259,6 +259,7 @@
 {
     m_stop = message.schedule;
     m_dispatcher.endCallsBy(m_stop->answersDueBy(), m_stop->executionsDueBy());
+    m_admission.endQueuedBy(m_stop->executionsDueBy());
     publishStatus();
 }
 
--- a/src/proxy/tests/test_proxy_task.cpp
+++ b/src/proxy/tests/test_proxy_task.cpp
@@ -10,6 +10,7 @@
 
 constexpr Duration gracePeriod = 6s;
 constexpr Duration objective = 1s;
+constexpr std::uint32_t slots = 8;
 const ServiceName service{"affirmer"};
 
 class FakeCallerCodec : public CallerCodec
@@ -49,6 +50,7 @@
         ProxySettings settings;
         settings.self = {InstanceId{"node"}, Incarnation{1}, ""};
         settings.drainPropagationDelay = gracePeriod;
+        settings.admission.limiter = LimiterKind::Fixed;
         Adapter adapter;
         adapter.callers = std::make_shared<FakeCallerCodec>();
         ProxyCallbacks callbacks;
@@ -70,14 +72,14 @@
         UpstreamAnnouncement announcement;
         announcement.id = "i-1";
         announcement.service = service;
-        announcement.slots = Slots{8};
+        announcement.slots = Slots{slots};
         task->post(AnnouncementArrived{announcement});
     }
 
-    void receiveRun(Duration timeLeft)
+    void receiveRun(Duration timeLeft, RequestId id = RequestId{1})
     {
         RunRequest run;
-        run.request = RequestId{1};
+        run.request = id;
         run.work.service = service;
         run.work.className = ClassName{"class"};
         run.timeLeft = timeLeft;
@@ -117,6 +119,22 @@
     BOOST_TEST(answers.front().retryable);
 }
 
+BOOST_FIXTURE_TEST_CASE(aRunThatWaitsWhenTheNodeStopsEndsBeforeTheNodeDoes, UpstreamNode)
+{
+    for (std::uint64_t id = 1; id <= slots + 1; ++id)
+        receiveRun(20s, RequestId{id});
+    BOOST_REQUIRE(jobs.size() == slots);
+    const StopSchedule schedule = StopSchedule::startingAt(monotonicNow(), gracePeriod);
+    task->post(StopRequest{schedule});
+    UpstreamResult result;
+    result.execution = jobs.front().execution;
+    result.status = 200;
+    task->post(ExecutionEnded{result});
+    loop.run_for(50ms);
+    BOOST_REQUIRE(jobs.size() == slots + 1);
+    BOOST_TEST((jobs.back().deadline <= schedule.executionsDueBy()));
+}
+
 BOOST_FIXTURE_TEST_CASE(aRunOnAServingNodeKeepsItsTimeLimit, UpstreamNode)
 {
     const TimePoint before = monotonicNow();
