Refuse runs that may outlast a stop instead of cutting their time

What callers would see: a slow request that isn't idempotent ends with its target's early 504, because the node beside the target was stopping, although another target could have given it its whole time.

Cause: runs from peers were taken by the latency objective, like calls of callers, and their time cut to the schedule. A caller's call has no other node to go to; a run has, and a refusal that says "not run" costs the dispatcher neither a retry nor time.

Change: on a stopping node a run is taken only if its whole time limit fits, else refused at once; nothing is cut any more. Calls of the node's own dispatcher come with their time already limited to the schedule, so they fit.

--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -182,10 +182,9 @@
 void ProxyTask::on(IncomingFrameArrived &&message, TimePoint now)
 {
     wakeBy(now + tickInterval);
-    if (auto *run = std::get_if<RunRequest>(&message.frame)) {
-        const ReplyTo from{message.stream.value(), run->request, run->attempt};
-        runLocally(std::move(*run), from, now);
-    } else if (const auto *cancel = std::get_if<Cancel>(&message.frame))
+    if (const auto *run = std::get_if<RunRequest>(&message.frame))
+        runLocally(*run, {message.stream.value(), run->request, run->attempt}, now);
+    else if (const auto *cancel = std::get_if<Cancel>(&message.frame))
         carryOut(
                 m_admission.cancel({message.stream.value(), cancel->request, cancel->attempt}, now),
                 now);
@@ -297,8 +296,7 @@
         m_callbacks.mesh(SendToPeer{std::move(action.to), std::move(action.run)});
         return;
     }
-    const ReplyTo from{localStream, action.run.request, action.run.attempt};
-    runLocally(std::move(action.run), from, now);
+    runLocally(action.run, {localStream, action.run.request, action.run.attempt}, now);
 }
 
 void ProxyTask::carryOut(SendCancel &&action, TimePoint now)
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -211,7 +211,7 @@
                      TimePoint now) const;
     std::string_view callerRequestIdOf(RequestId id) const;
     void refuseCall(RequestId id, const IncomingCall &call, Error reason, TimePoint now);
-    void runLocally(RunRequest run, ReplyTo from, TimePoint now);
+    void runLocally(const RunRequest &run, ReplyTo from, TimePoint now);
     void finishExecution(UpstreamResult result, TimePoint now);
     bool isNewer(const UpstreamAnnouncement &announcement) const;
     void startUpstreamDrain(TimePoint now);
--- a/src/proxy/proxy_upstream.cpp
+++ b/src/proxy/proxy_upstream.cpp
@@ -150,7 +150,7 @@
     m_callbacks.upstream(CancelJob{action.execution});
 }
 
-void ProxyTask::runLocally(RunRequest run, ReplyTo from, TimePoint now)
+void ProxyTask::runLocally(const RunRequest &run, ReplyTo from, TimePoint now)
 {
     const Configuration *configuration = m_history.findOrActive(run.revision, unusedWallTime);
     if (configuration == nullptr) {
@@ -161,14 +161,14 @@
         carryOut(Reply{from, makeRefusal(run, Error::UpstreamAbsent, true)}, now);
         return;
     }
-    const Preset &preset = configuration->document.activePreset();
-    if (m_stop && !m_stop->hasTimeFor(preset.objectiveOf(run.work.className), run.timeLeft, now)) {
+    // Another target may give the run its whole time, and a refusal costs the dispatcher nothing.
+    if (m_stop && !m_stop->hasTimeFor(Duration{0}, run.timeLeft, now)) {
         carryOut(Reply{from, makeRefusal(run, Error::TargetLeaving, true)}, now);
         return;
     }
-    if (m_stop)
-        run.timeLeft = std::min(run.timeLeft, m_stop->executionsDueBy() - now);
-    carryOut(m_admission.submit(run, from, preset, now, unusedWallTime), now);
+    carryOut(m_admission.submit(run, from, configuration->document.activePreset(), now,
+                                unusedWallTime),
+             now);
 }
 
 MemberState ProxyTask::state() const
