Keep membership gossip within a region, with a few bridges between regions

Cause: the ring of neighbours ignored regions, so that two thirds of each node's neighbours were in other regions; one update of one node crossed regions about a thousand times in a fleet of 195 nodes, and so did the comparisons of tables. Ruled out: relaying less often (slower everywhere, for the same bytes). Change: the ring is that of the region's nodes; three bridges a region, drawn by a hash, pass updates on to one bridge of each other region, and about three nodes a region and second compare tables with another region, which repairs what bridges miss.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -14,6 +14,11 @@
 /// Expected number of nodes in the whole fleet that contact lost members in each
 /// Membership::Settings::rejoinInterval.
 constexpr std::size_t contactingNodesPerInterval = 20;
+/// Nodes of a region that pass updates on to other regions; more than one, since some may be gone.
+constexpr std::size_t bridgesPerRegion = 3;
+/// Expected number of nodes of a region that compare their table with one of another region in each
+/// Membership::Settings::syncInterval. They repair what the bridges miss.
+constexpr std::size_t crossRegionSyncsPerInterval = 3;
 
 /// Ranks reports of the same incarnation and version: left over dead over suspected over the rest.
 int severity(const Member &member)
@@ -27,6 +32,12 @@
     return checksum("ring/" + instance.value());
 }
 
+/// Orders the nodes of a region; the first ones are its bridges.
+std::uint64_t bridgePosition(const InstanceId &instance)
+{
+    return checksum("bridge/" + instance.value());
+}
+
 PeerRef seedPeer(const std::string &address)
 {
     return {InstanceId{"@" + address}, Incarnation{0}, address};
@@ -183,10 +194,18 @@
 }
 
 std::vector<PeerRef> Membership::neighbours() const
+{
+    std::vector<PeerRef> peers = ringNeighbours();
+    std::vector<PeerRef> bridges = bridgePeers();
+    std::move(bridges.begin(), bridges.end(), std::back_inserter(peers));
+    return peers;
+}
+
+std::vector<PeerRef> Membership::ringNeighbours() const
 {
     std::vector<std::pair<std::uint64_t, const Member *>> ring;
     for (const auto &[instance, known] : m_others) {
-        if (known.member.isLive())
+        if (known.member.isLive() && known.member.region == m_self.region)
             ring.emplace_back(ringPosition(instance), &known.member);
     }
     std::sort(ring.begin(), ring.end());
@@ -200,6 +219,57 @@
     return peers;
 }
 
+/// Bridges of the same order in different regions are each other's peers. Empty if this node is no
+/// bridge of its region.
+std::vector<PeerRef> Membership::bridgePeers() const
+{
+    using Position = std::pair<std::uint64_t, const Member *>;
+    std::map<RegionName, std::vector<Position>> regions;
+    const auto add = [&regions](const Member &member) {
+        if (member.isLive() && !member.suspected)
+            regions[member.region].emplace_back(bridgePosition(member.peer.instance), &member);
+    };
+    add(m_self);
+    for (const auto &[instance, known] : m_others)
+        add(known.member);
+    for (auto &[region, positions] : regions) {
+        std::sort(positions.begin(), positions.end());
+        positions.resize(std::min(positions.size(), bridgesPerRegion));
+    }
+    std::vector<PeerRef> peers;
+    const std::vector<Position> &own = regions[m_self.region];
+    const auto self = std::find_if(own.begin(), own.end(), [this](const Position &position) {
+        return position.second == &m_self;
+    });
+    if (self == own.end())
+        return peers;
+    const auto index = static_cast<std::size_t>(self - own.begin());
+    for (const auto &[region, positions] : regions) {
+        if (region != m_self.region)
+            peers.push_back(positions[index % positions.size()].second->peer);
+    }
+    return peers;
+}
+
+std::vector<PeerRef> Membership::peersOfOtherRegions() const
+{
+    std::vector<PeerRef> peers;
+    for (const auto &[instance, known] : m_others) {
+        if (known.member.isLive() && known.member.region != m_self.region)
+            peers.push_back(known.member.peer);
+    }
+    return peers;
+}
+
+/// Returns the number of live nodes in this node's region, itself included.
+std::size_t Membership::regionSize() const
+{
+    const auto others = std::count_if(m_others.begin(), m_others.end(), [this](const auto &other) {
+        return other.second.member.isLive() && other.second.member.region == m_self.region;
+    });
+    return static_cast<std::size_t>(others) + 1;
+}
+
 bool Membership::isConfigurationReader() const
 {
     const auto position = [](const InstanceId &instance) {
@@ -341,7 +411,15 @@
 
 void Membership::startSync(OutgoingGossips *messages)
 {
-    const std::vector<PeerRef> peers = neighbours();
+    std::vector<PeerRef> peers = ringNeighbours();
+    // At least half of the comparisons stay in a small region.
+    const std::size_t choices = std::max(regionSize(), 2 * crossRegionSyncsPerInterval);
+    const bool crossesRegions = peers.empty() || m_random() % choices < crossRegionSyncsPerInterval;
+    if (crossesRegions) {
+        std::vector<PeerRef> others = peersOfOtherRegions();
+        if (!others.empty())
+            peers = std::move(others);
+    }
     if (peers.empty()) {
         std::vector<std::string> some;
         std::sample(m_seeds.begin(), m_seeds.end(), std::back_inserter(some), maxSeedsPerSync,
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -127,7 +127,9 @@
     /// starts anti-entropy exchanges and attempts to rejoin.
     OutgoingGossips tick(TimePoint now);
 
-    /// Returns the peers to keep a stream to: ring successors at distances 1, 2, 4 and so on.
+    /// Returns the peers to which updates are sent: successors at distances 1, 2, 4 and so on on
+    /// the ring of the region's nodes and, for the few bridges of the region, one bridge of each
+    /// other region.
     std::vector<PeerRef> neighbours() const;
 
     /// Returns the nodes whose tombstones have expired since the last call and whose stored rows
@@ -173,6 +175,10 @@
     void refute(const Member &claim);
     std::vector<std::uint64_t> bucketHashes() const;
     std::vector<Member> membersInDifferingBuckets(const std::vector<std::uint64_t> &theirs) const;
+    std::vector<PeerRef> ringNeighbours() const;
+    std::vector<PeerRef> bridgePeers() const;
+    std::vector<PeerRef> peersOfOtherRegions() const;
+    std::size_t regionSize() const;
     OutgoingGossips messagesForNeighbours(Gossip gossip,
                                           const std::optional<InstanceId> &except) const;
     OutgoingGossips disseminateMembers(const std::vector<Member> &updates,
