Let a few nodes of each zone watch the configuration, and gossip pass it on

Ruled out: polling less often in each node (later everywhere, and still one read a version and node). Change: two nodes a zone watch; the others hear the version by gossip and fetch the text from a peer 30 ms later. ReadSchedule lets every other node check by itself at intervals that grow with the fleet, two reads a second in all, in case no reader reaches the store; in an outage only readers and nodes without a configuration try again soon. Versions carry the era of the store, so that a revision given out again with another text passes by gossip too. At a start of the whole fleet nodes list rows in turn, and those that were contacted before don't; a restarted node that finds its row as it was doesn't write it.

--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -212,7 +212,9 @@
     for (const std::uint64_t hash : gossip.bucketHashes)
         out->add_bucket_hashes(hash);
     out->set_wants_hashes(gossip.wantsHashes);
-    out->set_revision(gossip.revision.value());
+    out->set_revision(gossip.version.revision.value());
+    out->set_era(gossip.version.era.value());
+    out->set_wants_configuration(gossip.wantsConfiguration);
     out->set_configuration(gossip.configuration);
     for (const PoisonEvent &event : gossip.poisonEvents) {
         wire::Strike *encoded = out->add_strikes();
@@ -232,7 +234,8 @@
     }
     gossip.bucketHashes.assign(in.bucket_hashes().begin(), in.bucket_hashes().end());
     gossip.wantsHashes = in.wants_hashes();
-    gossip.revision = Revision{in.revision()};
+    gossip.version = {Revision{in.revision()}, StoreEra{in.era()}};
+    gossip.wantsConfiguration = in.wants_configuration();
     gossip.configuration = in.configuration();
     for (const wire::Strike &encoded : in.strikes())
         gossip.poisonEvents.push_back(
--- a/src/membership/configuration_gossip.cpp
+++ b/src/membership/configuration_gossip.cpp
@@ -3,61 +3,68 @@
 #include <algorithm>
 #include <iterator>
 
-/// The part of Membership that disseminates configurations: revisions are advertised at once,
-/// texts are sent on request.
+/// The part of Membership that disseminates configurations: versions are advertised at once, texts
+/// are sent on request.
 
 namespace buckthornford {
 
 Membership::OutgoingGossips Membership::disseminate(const Configuration &configuration,
                                                     const std::optional<InstanceId> &except)
 {
-    setConfiguration(configuration.revision, toJsonText(configuration));
-    m_advertisedRevision = m_revision;
+    setConfiguration({configuration.revision, {}}, toJsonText(configuration));
+    m_advertisedVersion = m_version;
     Gossip gossip;
     gossip.configuration = m_configuration;
     return messagesForNeighbours(std::move(gossip), except);
 }
 
-void Membership::setConfiguration(Revision revision, std::string configuration)
+void Membership::setConfiguration(ConfigurationVersion version, std::string configuration)
 {
-    m_revision = revision;
+    m_version = version;
     m_configuration = std::move(configuration);
 }
 
-void Membership::recordPeerRevision(const PeerRef &from, Revision revision, TimePoint now)
+void Membership::recordPeerVersion(const PeerRef &from, ConfigurationVersion version, TimePoint now)
 {
-    const bool isAhead = revision > m_revision;
-    if (isAhead && (!m_newerConfiguration || revision > m_newerConfiguration->revision))
-        m_newerConfiguration = NewerConfiguration{
-                from, revision, m_newerConfiguration ? m_newerConfiguration->firstHeard : now};
+    if (version <= m_version || (m_newerConfiguration && version <= m_newerConfiguration->version))
+        return;
+    const TimePoint fetchTime = m_newerConfiguration
+                                        ? m_newerConfiguration->fetchTime
+                                        : std::max(now + m_settings.configurationFetchDelay,
+                                                   m_nextConfigurationRequest);
+    m_newerConfiguration = NewerConfiguration{from, version, fetchTime};
 }
 
 std::optional<TimePoint> Membership::configurationFetchTime() const
 {
-    if (!m_newerConfiguration || m_newerConfiguration->revision <= m_revision)
+    if (!m_newerConfiguration || m_newerConfiguration->version <= m_version)
         return std::nullopt;
-    return m_newerConfiguration->firstHeard + m_settings.configurationFetchDelay;
+    return m_newerConfiguration->fetchTime;
 }
 
-void Membership::advertiseRevision(OutgoingGossips *messages)
+void Membership::advertiseVersion(OutgoingGossips *messages)
 {
-    if (m_advertisedRevision == m_revision)
+    if (m_advertisedVersion == m_version)
         return;
-    m_advertisedRevision = m_revision;
+    m_advertisedVersion = m_version;
     OutgoingGossips updates = messagesForNeighbours({}, std::nullopt);
     std::move(updates.begin(), updates.end(), std::back_inserter(*messages));
 }
 
-/// A peer that receives an anti-entropy message with an older revision replies with its
-/// configuration. If the reply is lost, the exchange made every second shows again which peer has a
-/// newer one.
+/// If the reply is lost, the anti-entropy exchange made every second shows again which peer has a
+/// newer configuration.
 void Membership::requestConfiguration(OutgoingGossips *messages, TimePoint now)
 {
     const std::optional<TimePoint> fetchTime = configurationFetchTime();
     if (fetchTime && now < *fetchTime)
         return;
-    if (fetchTime)
-        messages->push_back({m_newerConfiguration->peer, syncMessage()});
+    if (fetchTime) {
+        Gossip request;
+        request.wantsConfiguration = true;
+        request.version = m_version;
+        messages->push_back({m_newerConfiguration->peer, std::move(request)});
+        m_nextConfigurationRequest = now + m_settings.configurationRequestInterval;
+    }
     m_newerConfiguration.reset();
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -135,15 +135,16 @@
         }
     }
     if (gossip.configuration.empty())
-        recordPeerRevision(from, gossip.revision, now);
+        recordPeerVersion(from, gossip.version, now);
     Gossip reply;
     if (!gossip.bucketHashes.empty())
         reply.members = membersInDifferingBuckets(gossip.bucketHashes);
     if (gossip.wantsHashes && !reply.members.empty())
         reply.bucketHashes = bucketHashes();
-    if (gossip.revision < m_revision && !gossip.bucketHashes.empty())
+    const bool asksForConfiguration = gossip.wantsConfiguration || !gossip.bucketHashes.empty();
+    if (gossip.version < m_version && asksForConfiguration)
         reply.configuration = m_configuration;
-    reply.revision = m_revision;
+    reply.version = m_version;
     OutgoingGossips messages;
     if (!reply.members.empty() || !reply.configuration.empty())
         messages.push_back({from, std::move(reply)});
@@ -184,7 +185,7 @@
 Membership::OutgoingGossips
 Membership::messagesForNeighbours(Gossip gossip, const std::optional<InstanceId> &except) const
 {
-    gossip.revision = m_revision;
+    gossip.version = m_version;
     OutgoingGossips messages;
     for (const PeerRef &peer : neighbours()) {
         if (peer.instance != except)
@@ -337,7 +338,7 @@
     gossip.members = {m_self};
     gossip.bucketHashes = bucketHashes();
     gossip.wantsHashes = true;
-    gossip.revision = m_revision;
+    gossip.version = m_version;
     return gossip;
 }
 
@@ -438,7 +439,7 @@
     OutgoingGossips messages;
     if (!updates.empty())
         messages = disseminateMembers(updates, std::nullopt);
-    advertiseRevision(&messages);
+    advertiseVersion(&messages);
     requestConfiguration(&messages, now);
     if (now >= m_nextSync) {
         m_nextSync = now + m_settings.syncInterval;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -53,13 +53,24 @@
 /// Returns whether \a a replaces \a b, another report about the same instance.
 bool supersedes(const Member &a, const Member &b);
 
+/// Names one text of the configuration. A store that has come back from a copy may give a revision
+/// out again, with another text; that of the newer era replaces the other.
+struct ConfigurationVersion
+{
+    Revision revision;
+    StoreEra era; ///< of the store that held the text; 0 if not known
+
+    friend auto operator<=>(const ConfigurationVersion &, const ConfigurationVersion &) = default;
+};
+
 /// A message between the membership tables of two nodes.
 struct Gossip
 {
     std::vector<Member> members;
     std::vector<std::uint64_t> bucketHashes; ///< of the sender's whole table; empty if not sent
     bool wantsHashes = false;                ///< asks the receiver for its bucket hashes
-    Revision revision;                       ///< of the newest configuration that the sender has
+    ConfigurationVersion version;            ///< of the newest configuration that the sender has
+    bool wantsConfiguration = false;         ///< asks the receiver for a newer one
     std::string configuration;               ///< JSON text; empty if not sent
     std::vector<PoisonEvent> poisonEvents;
 };
@@ -80,8 +91,10 @@
         /// Between attempts to contact dead nodes and seeds.
         Duration rejoinInterval{std::chrono::seconds(3)};
         /// After a peer has advertised a newer configuration: time for it to arrive from the
-        /// platform before this node requests it from the peer.
-        Duration configurationFetchDelay{std::chrono::milliseconds(100)};
+        /// platform or another peer before this node requests it from the peer.
+        Duration configurationFetchDelay{std::chrono::milliseconds(30)};
+        /// From a request for a newer configuration to the next one.
+        Duration configurationRequestInterval{std::chrono::milliseconds(300)};
         std::uint64_t seed = 1; ///< of the random number generator
     };
 
@@ -137,7 +150,7 @@
     std::vector<InstanceId> takeExpiredMembers() { return std::exchange(m_expiredMembers, {}); }
 
     /// Returns whether this node is one of the few in its availability zone that read the
-    /// configuration from the platform.
+    /// configuration from the platform; the others hear of it from their peers.
     bool isConfigurationReader() const;
 
     std::vector<Member> members() const;
@@ -145,10 +158,11 @@
     /// Returns the number of changes so far; while it stays equal, the table is unchanged.
     std::uint64_t changeCount() const { return m_changeCount; }
 
-    /// Records that this node now uses \a configuration; the next tick advertises \a revision to
-    /// the neighbours.
-    void setConfiguration(Revision revision, std::string configuration);
-    Revision revision() const { return m_revision; }
+    /// Records that this node now uses \a configuration; the next tick advertises \a version to the
+    /// neighbours.
+    void setConfiguration(ConfigurationVersion version, std::string configuration);
+    ConfigurationVersion version() const { return m_version; }
+    Revision revision() const { return m_version.revision; }
 
     /// Returns when to request the newer configuration that a peer advertised; nothing if there is
     /// none.
@@ -165,8 +179,8 @@
     struct NewerConfiguration
     {
         PeerRef peer;
-        Revision revision;
-        TimePoint firstHeard; ///< when any newer revision than this node's was first advertised
+        ConfigurationVersion version;
+        TimePoint fetchTime; ///< when to request it
     };
 
     static constexpr std::size_t bucketCount = 64;
@@ -189,8 +203,8 @@
     void startSync(OutgoingGossips *messages);
     bool isSuccessorOf(const InstanceId &instance) const;
     void removeExpiredTombstones(TimePoint now);
-    void recordPeerRevision(const PeerRef &from, Revision revision, TimePoint now);
-    void advertiseRevision(OutgoingGossips *messages);
+    void recordPeerVersion(const PeerRef &from, ConfigurationVersion version, TimePoint now);
+    void advertiseVersion(OutgoingGossips *messages);
     void requestConfiguration(OutgoingGossips *messages, TimePoint now);
     static std::size_t bucketOf(const InstanceId &instance);
 
@@ -200,13 +214,14 @@
     std::mt19937_64 m_random;
     std::map<InstanceId, KnownMember> m_others;
     std::uint64_t m_changeCount = 1;
-    Revision m_revision;
-    Revision m_advertisedRevision; ///< newest that the neighbours were sent
-    std::string m_configuration;   ///< JSON text of m_revision
+    ConfigurationVersion m_version;
+    ConfigurationVersion m_advertisedVersion; ///< newest that the neighbours were sent
+    std::string m_configuration;              ///< JSON text of m_version
     std::optional<NewerConfiguration> m_newerConfiguration;
     std::vector<InstanceId> m_expiredMembers;
     TimePoint m_nextSync;
     TimePoint m_nextRejoin;
+    TimePoint m_nextConfigurationRequest; ///< earliest time of the next request to a peer
 };
 
 } // namespace buckthornford
--- a/src/membership/tests/cluster.h
+++ b/src/membership/tests/cluster.h
@@ -78,8 +78,8 @@
                 && regionOf(sender.instance) != receiver->self().region)
                 onCrossRegion(message.gossip);
             if (!message.gossip.configuration.empty()
-                && message.gossip.revision > receiver->revision())
-                receiver->setConfiguration(message.gossip.revision, message.gossip.configuration);
+                && message.gossip.version > receiver->version())
+                receiver->setConfiguration(message.gossip.version, message.gossip.configuration);
             for (auto &next : receiver->receive(sender, message.gossip, now))
                 queue.emplace_back(receiver->self().peer, std::move(next));
         }
--- a/src/membership/tests/test_membership.cpp
+++ b/src/membership/tests/test_membership.cpp
@@ -126,12 +126,27 @@
 {
     Cluster cluster(24);
     cluster.tick(0, 8000);
-    cluster.node(5).setConfiguration(Revision{7}, "text");
+    cluster.node(5).setConfiguration({Revision{7}, StoreEra{1}}, "text");
     cluster.tick(8000, 9000);
     for (int i = 0; i < 24; ++i)
         BOOST_TEST(cluster.node(i).revision().value() == 7U);
 }
 
+/// A store that has come back from a copy gives revisions out again, and only some nodes read it.
+BOOST_AUTO_TEST_CASE(theSameRevisionOfANewerEraReachesAllNodes)
+{
+    Cluster cluster(24);
+    cluster.tick(0, 8000);
+    const ConfigurationVersion lost{Revision{7}, StoreEra{1}};
+    const ConfigurationVersion rewritten{Revision{7}, StoreEra{2}};
+    for (int i = 0; i < 24; ++i)
+        cluster.node(i).setConfiguration(lost, "lost");
+    cluster.node(5).setConfiguration(rewritten, "rewritten");
+    cluster.tick(8000, 9000);
+    for (int i = 0; i < 24; ++i)
+        BOOST_TEST((cluster.node(i).version() == rewritten));
+}
+
 BOOST_AUTO_TEST_CASE(twoNodesPerZoneReadTheConfiguration)
 {
     Cluster cluster(40);
--- a/src/node/membership_task.cpp
+++ b/src/node/membership_task.cpp
@@ -146,7 +146,7 @@
     }
     if (!gossip.poisonEvents.empty())
         m_callbacks.poisonEvents({gossip.poisonEvents, from.instance});
-    if (gossip.configuration.empty() || gossip.revision <= m_membership.revision())
+    if (gossip.configuration.empty() || gossip.version <= m_membership.version())
         return;
     const Result<Configuration> configuration = parseConfiguration(gossip.configuration);
     if (configuration)
--- a/src/proxy/gossip_task.cpp
+++ b/src/proxy/gossip_task.cpp
@@ -55,13 +55,14 @@
         m_liveCount += isOther && member.isLive() ? 1 : 0;
     }
     m_callbacks.members({std::move(members)});
+    m_callbacks.fleet({m_liveCount, m_membership.isConfigurationReader()});
 }
 
 void GossipTask::on(GossipArrived &&message, TimePoint now)
 {
     const Gossip &gossip = message.gossip;
-    if (!gossip.configuration.empty() && gossip.revision > m_membership.revision())
-        m_callbacks.configuration(gossip.configuration);
+    if (!gossip.configuration.empty() && gossip.version > m_membership.version())
+        m_callbacks.configuration(gossip.configuration, gossip.version.era);
     if (!gossip.poisonEvents.empty())
         m_callbacks.poisonEvents({gossip.poisonEvents, message.from.instance});
     for (const Membership::OutgoingGossip &outgoing :
@@ -91,7 +92,7 @@
 
 void GossipTask::on(ConfigurationAccepted &&message, TimePoint now)
 {
-    m_membership.setConfiguration(message.revision, std::move(message.text));
+    m_membership.setConfiguration(message.version, std::move(message.text));
     wakeBy(now);
 }
 
--- a/src/proxy/gossip_task.h
+++ b/src/proxy/gossip_task.h
@@ -6,6 +6,7 @@
 #include "mesh/mesh.h"
 #include "proxy/adapter.h"
 #include "proxy/proxy_task.h"
+#include "store/store.h"
 
 #include <functional>
 #include <variant>
@@ -36,7 +37,7 @@
 /// This node has accepted a configuration.
 struct ConfigurationAccepted
 {
-    Revision revision;
+    ConfigurationVersion version;
     std::string text; ///< the configuration as stored
 };
 
@@ -47,8 +48,10 @@
 struct GossipCallbacks
 {
     std::function<void(MeshMessage)> mesh;
-    std::function<void(MembersChanged)> members;    ///< all members, after any change
-    std::function<void(std::string)> configuration; ///< text of a newer one from a peer
+    std::function<void(MembersChanged)> members; ///< all members, after any change
+    std::function<void(FleetChanged)> fleet;     ///< what they mean for calls to the store
+    /// Text of a newer configuration from a peer, and the era of the store that held it.
+    std::function<void(const std::string &, StoreEra)> configuration;
     std::function<void(PoisonEventsArrived)> poisonEvents;
     std::function<void(InstanceId)> nodeExpired; ///< its registration in the store is to be removed
 };
@@ -59,9 +62,6 @@
     GossipTask(EventLoop *loop, Member self, std::vector<std::string> seeds, std::uint64_t seed,
                GossipCallbacks callbacks);
 
-    /// Returns how many other nodes are known to be live.
-    std::size_t liveCount() const { return m_liveCount; }
-
 protected:
     void handle(GossipMessage &&message, TimePoint now) override;
     TimePoint tick(TimePoint now) override;
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -67,7 +67,7 @@
     ServerResponse handleAnnouncement(const ServerRequest &request);
     ServerResponse metricsResponse(const ServerRequest &request) const;
 
-    void acceptConfiguration(const std::string &text, std::optional<StoreEra> era);
+    void acceptConfiguration(const std::string &text, StoreEra era);
     void probeUpstream();
     void runPeriodicWork();
     void readSettings();
@@ -96,9 +96,8 @@
     ImmediateHandler metricsHandler{
             [this](const ServerRequest &request) { return metricsResponse(request); }};
     Endpoint upstreamEndpoint;
-    Revision acceptedRevision;
-    std::uint64_t acceptedChecksum = 0;  ///< of the accepted text
-    std::optional<StoreEra> acceptedEra; ///< in which the store held the accepted text
+    ConfigurationVersion acceptedVersion;
+    std::uint64_t acceptedChecksum = 0; ///< of the accepted text
     std::optional<StopSchedule> stop;
     TimePoint nextSettingsReload;
 };
@@ -165,13 +164,13 @@
 {
     GossipCallbacks callbacks;
     callbacks.mesh = [this](MeshMessage message) { mesh->post(std::move(message)); };
-    callbacks.members = [this](MembersChanged members) {
+    callbacks.members = [this](MembersChanged members) { proxy->post(std::move(members)); };
+    callbacks.fleet = [this](FleetChanged fleet) {
         if (store)
-            store->post(PeerCountChanged{gossip->liveCount()});
-        proxy->post(std::move(members));
+            store->post(fleet);
     };
     callbacks.configuration
-            = [this](const std::string &text) { acceptConfiguration(text, std::nullopt); };
+            = [this](const std::string &text, StoreEra era) { acceptConfiguration(text, era); };
     callbacks.poisonEvents
             = [this](PoisonEventsArrived poisonEvents) { proxy->post(std::move(poisonEvents)); };
     callbacks.nodeExpired = [this](const InstanceId &instance) {
@@ -184,9 +183,8 @@
 StoreCallbacks ServiceNode::Private::storeCallbacks()
 {
     StoreCallbacks callbacks;
-    callbacks.configuration = [this](const std::string &text, std::optional<StoreEra> era) {
-        acceptConfiguration(text, era);
-    };
+    callbacks.configuration
+            = [this](const std::string &text, StoreEra era) { acceptConfiguration(text, era); };
     callbacks.nodes = [this](const std::vector<StoredRow> &rows) {
         SeedsFound seeds;
         for (const StoredRow &row : rows)
@@ -195,7 +193,7 @@
     };
     callbacks.reachable = [this](bool isReachable) {
         log.write(LogCategory::Process, isReachable ? "store-reached" : "store-lost",
-                  {{"revision", static_cast<std::int64_t>(acceptedRevision.value())}},
+                  {{"revision", static_cast<std::int64_t>(acceptedVersion.revision.value())}},
                   monotonicNow());
     };
     return callbacks;
@@ -291,36 +289,37 @@
     return response;
 }
 
-/// Takes the configuration \a text, read in \a era of the store (none if a peer sent it), if it is
-/// newer than the one in use. A revision never reverts. The same revision comes with another text
-/// only if the store has lost the first one; the text of the newer era was acknowledged last.
-void ServiceNode::Private::acceptConfiguration(const std::string &text, std::optional<StoreEra> era)
+/// Takes the configuration \a text, which the store held in \a era, if its version is newer than
+/// the one in use. A revision never reverts. The same revision comes with another text only if the
+/// store has lost the first one; the text of the newer era was acknowledged last.
+void ServiceNode::Private::acceptConfiguration(const std::string &text, StoreEra era)
 {
     const Result<Configuration> configuration = adapter.store->parseConfiguration(text);
     if (!configuration) {
         log.write(LogCategory::Process, "configuration-refused",
                   {{"reason", errorRow(errorOf(configuration.error())).name},
-                   {"kept_revision", static_cast<std::int64_t>(acceptedRevision.value())}},
+                   {"kept_revision", static_cast<std::int64_t>(acceptedVersion.revision.value())}},
                   monotonicNow());
         return;
     }
-    const Revision revision = configuration.value().revision;
-    const bool isSameRevision = revision == acceptedRevision;
-    const bool isKnown = isSameRevision && (!era || era == acceptedEra);
-    if (revision < acceptedRevision || isKnown)
+    const ConfigurationVersion version{configuration.value().revision, era};
+    if (version <= acceptedVersion)
         return;
-    acceptedEra = era;
     const std::uint64_t textChecksum = checksum(text);
-    if (isSameRevision && textChecksum == acceptedChecksum)
-        return;
-    acceptedRevision = revision;
+    const bool isSameText
+            = version.revision == acceptedVersion.revision && textChecksum == acceptedChecksum;
+    acceptedVersion = version;
     acceptedChecksum = textChecksum;
+    gossip->post(ConfigurationAccepted{version, text});
+    if (isSameText)
+        return;
     log.write(LogCategory::Process, "configuration-taken",
-              {{"revision", static_cast<std::int64_t>(revision.value())},
-               {"store_era", era ? static_cast<std::int64_t>(era->value()) : 0}},
+              {{"revision", static_cast<std::int64_t>(version.revision.value())},
+               {"store_era", static_cast<std::int64_t>(era.value())}},
               monotonicNow());
     callerServer->post(adapter.store->callerLimits(text));
-    gossip->post(ConfigurationAccepted{revision, text});
+    if (store)
+        store->post(ConfigurationKnown{});
     proxy->post(ConfigurationChanged{configuration.value()});
 }
 
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -7,17 +7,18 @@
 namespace {
 
 constexpr Duration callTimeout = std::chrono::milliseconds(1500);
-/// Bounds of the time for which the store may wait for a change before it responds to a watch.
-constexpr Duration minWatchTimeout = std::chrono::seconds(2);
-constexpr Duration maxWatchTimeout = std::chrono::seconds(25);
-/// Watch timeout for each node in the fleet. A node only notices that the store lost its watch in
-/// an outage when the watch times out, so about one watch of the fleet should end every second.
-constexpr Duration watchTimeoutPerNode = std::chrono::seconds(1);
 constexpr Duration minBackoff = std::chrono::milliseconds(200);
 constexpr Duration maxBackoff = std::chrono::seconds(2);
 constexpr Duration listingInterval = std::chrono::seconds(1); ///< while no other node is known
-/// By then, nodes that start together have stored their rows.
+/// By then, nodes that start together have stored their rows. They list them in turn, since most
+/// are contacted by the first that do.
 constexpr Duration bootstrapListingDelay = std::chrono::milliseconds(600);
+constexpr Duration bootstrapListingSpread = std::chrono::milliseconds(400);
+/// By then, nodes that start together know each other, and so which of them are readers.
+constexpr Duration bootstrapReadDelay = std::chrono::milliseconds(1500);
+/// A node that starts again finds its row of before in the listing, which takes less time than
+/// this.
+constexpr Duration rowWriteDelay = std::chrono::milliseconds(300);
 /// The store responds with at most 500 rows or 1 MB.
 constexpr HttpClientLimits responseLimits{.body = Bytes{8U << 20U}, .received = Bytes{12U << 20U}};
 constexpr Bytes maxResponseMemory{16U << 20U}; ///< of all responses in progress
@@ -37,11 +38,19 @@
     , m_responseMemory(std::make_shared<ResponseMemory>(maxResponseMemory))
     , m_random(seed)
     , m_callbacks(std::move(callbacks))
+    , m_readSchedule(seed)
 {
     m_calls[ReadConfiguration].isScheduled = true;
     m_calls[ListNodes].isScheduled = true;
-    if (isBootstrap)
-        m_calls[ListNodes].nextStart = monotonicNow() + bootstrapListingDelay;
+    const TimePoint now = monotonicNow();
+    if (!isBootstrap) {
+        m_calls[WriteOwnRow].nextStart = now + rowWriteDelay;
+        return;
+    }
+    std::uniform_real_distribution<double> share(0.0, 1.0);
+    m_calls[ReadConfiguration].nextStart = now + bootstrapReadDelay;
+    m_calls[ListNodes].nextStart
+            = now + bootstrapListingDelay + scaled(bootstrapListingSpread, share(m_random));
 }
 
 StoreTask::~StoreTask()
@@ -98,14 +107,28 @@
     wakeBy(now);
 }
 
-void StoreTask::on(PeerCountChanged &&message, TimePoint now)
+void StoreTask::on(FleetChanged &&message, TimePoint now)
 {
-    const bool hadNoPeers = std::exchange(m_peerCount, message.count) == 0;
-    if (hadNoPeers || message.count > 0)
-        return;
-    m_calls[ListNodes].isScheduled = true;
-    m_calls[ListNodes].nextStart = now;
-    wakeBy(now);
+    const bool hadPeers = m_readSchedule.otherNodes() > 0;
+    const bool wasReader = m_readSchedule.isReader();
+    m_readSchedule.setFleet(message.otherNodes, message.isConfigurationReader);
+    const bool hasPeers = message.otherNodes > 0;
+    if (hasPeers != hadPeers) {
+        m_calls[ListNodes].isScheduled = !hasPeers;
+        m_calls[ListNodes].nextStart = now;
+        wakeBy(now);
+    }
+    CallState &read = m_calls[ReadConfiguration];
+    if (message.isConfigurationReader != wasReader && !read.isRunning) {
+        m_hasRead = false;
+        read.nextStart = message.isConfigurationReader ? now : m_readSchedule.nextCheck(now);
+        wakeBy(read.nextStart);
+    }
+}
+
+void StoreTask::on(ConfigurationKnown &&, TimePoint)
+{
+    m_readSchedule.setConfigurationKnown();
 }
 
 ClientRequest StoreTask::makeRequest(CallKind kind) const
@@ -126,22 +149,14 @@
     return m_codec->listNodes();
 }
 
-/// Chooses the timeout at random, so that the watches of the fleet end at different times.
-Duration StoreTask::chooseWatchTimeout()
-{
-    const auto nodeCount = static_cast<Duration::rep>(m_peerCount) + 1;
-    const Duration maxTimeout
-            = std::clamp(nodeCount * watchTimeoutPerNode, minWatchTimeout, maxWatchTimeout);
-    std::uniform_real_distribution<double> jitter(0.5, 1.0);
-    return scaled(maxTimeout, jitter(m_random));
-}
-
 void StoreTask::startCall(CallKind kind, TimePoint now)
 {
     CallState &call = m_calls[kind];
-    const bool isWatch = kind == ReadConfiguration && m_isWatching;
+    const bool isWatch = kind == ReadConfiguration && m_hasRead && m_readSchedule.isReader();
     call.isRunning = true;
-    m_watchTimeout = isWatch ? chooseWatchTimeout() : m_watchTimeout;
+    if (kind == ReadConfiguration)
+        m_isWatching = isWatch;
+    m_watchTimeout = isWatch ? m_readSchedule.chooseWatchTimeout() : m_watchTimeout;
     call.deadline = now + callTimeout + (isWatch ? m_watchTimeout : Duration{0});
     const std::uint64_t attempt = ++call.attempt;
     if (!call.connection || !call.connection->isReusable())
@@ -176,6 +191,10 @@
     CallState &call = m_calls[kind];
     endCall(&call);
     updateReachable(false);
+    if (kind == ReadConfiguration && !m_readSchedule.retriesSoon()) {
+        call.nextStart = m_readSchedule.nextCheck(now);
+        return;
+    }
     call.backoff = std::clamp(2 * call.backoff, minBackoff, maxBackoff);
     // Random, so that the nodes of the fleet do not all retry at the same time.
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
@@ -189,7 +208,7 @@
     CallState &watch = m_calls[ReadConfiguration];
     if (watch.isRunning && noticedBy != ReadConfiguration)
         endCall(&watch);
-    m_isWatching = false;
+    m_hasRead = false;
     watch.nextStart = now;
     // The row of this node, or its removal, may be lost as well.
     CallState &row = m_calls[WriteOwnRow];
@@ -220,7 +239,7 @@
     }
     if (response.state == StoreResponse::State::Compacted && kind == ReadConfiguration) {
         call.isRunning = false;
-        m_isWatching = false;
+        m_hasRead = false;
         call.nextStart = now;
         return;
     }
@@ -235,6 +254,8 @@
     switch (kind) {
     case ReadConfiguration:
         publishConfiguration(response);
+        if (!m_readSchedule.isReader())
+            call.nextStart = m_readSchedule.nextCheck(now);
         break;
     case WriteOwnRow:
         call.isScheduled = !m_isDeregistering;
@@ -245,9 +266,7 @@
         call.isScheduled = !m_keysToRemove.empty();
         break;
     case ListNodes:
-        m_callbacks.nodes(response.rows);
-        call.isScheduled = m_peerCount == 0;
-        call.nextStart = now + listingInterval;
+        recordListing(response, now);
         break;
     case CallKindCount:
         break;
@@ -257,13 +276,28 @@
 void StoreTask::publishConfiguration(const StoreResponse &response)
 {
     m_storeVersion = response.version;
-    m_isWatching = true;
+    m_hasRead = true;
     for (const StoredRow &row : response.rows) {
         if (m_codec->isConfiguration(row) && !row.isDeleted)
-            m_callbacks.configuration(row.value, response.era);
+            m_callbacks.configuration(row.value, response.era.value_or(StoreEra{0}));
     }
 }
 
+void StoreTask::recordListing(const StoreResponse &response, TimePoint now)
+{
+    CallState &listing = m_calls[ListNodes];
+    listing.isScheduled = m_readSchedule.otherNodes() == 0;
+    listing.nextStart = now + listingInterval;
+    const bool hasOwnRow
+            = std::any_of(response.rows.begin(), response.rows.end(), [this](const StoredRow &row) {
+                  return m_self && row.key == m_self->key && row.value == m_self->value;
+              });
+    CallState &write = m_calls[WriteOwnRow];
+    if (!write.isRunning && !m_isDeregistering)
+        write.nextStart = hasOwnRow ? std::max(write.nextStart, now + rowRefreshInterval) : now;
+    m_callbacks.nodes(response.rows);
+}
+
 void StoreTask::updateReachable(bool isReachable)
 {
     if (m_isReachable == isReachable)
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,10 +1,11 @@
 #pragma once
 
-/// The task that calls the platform's store. It watches the operator's configuration and keeps the
+/// The task that calls the platform's store. It reads the operator's configuration and keeps the
 /// row that holds this node's address, through which nodes that know no peer find each other.
 
 #include "http1/http1.h"
 #include "proxy/adapter.h"
+#include "store/read_schedule.h"
 
 #include <deque>
 #include <functional>
@@ -31,20 +32,25 @@
     std::string key;
 };
 
-/// Tells the task how many other live nodes are known. While there are none, the task keeps listing
-/// the nodes' rows.
-struct PeerCountChanged
+/// What this node knows of the fleet has changed.
+struct FleetChanged
 {
-    std::size_t count = 0;
+    std::size_t otherNodes = 0; ///< live ones; while there are none, the task lists their rows
+    bool isConfigurationReader = true; ///< this node watches the configuration for its peers
 };
 
-using StoreMessage = std::variant<RegisterSelf, DeregisterSelf, DeregisterNode, PeerCountChanged>;
+/// The node has a configuration, from the store or from a peer.
+struct ConfigurationKnown
+{};
+
+using StoreMessage = std::variant<RegisterSelf, DeregisterSelf, DeregisterNode, FleetChanged,
+                                  ConfigurationKnown>;
 
 /// Called by the task with what it has read.
 struct StoreCallbacks
 {
-    /// Text of the configuration, and the era of the store in which it was read.
-    std::function<void(const std::string &, std::optional<StoreEra>)> configuration;
+    /// Text of the configuration, and the era of the store in which it was read; 0 if not known.
+    std::function<void(const std::string &, StoreEra)> configuration;
     std::function<void(std::vector<StoredRow>)> nodes; ///< rows of all nodes
     std::function<void(bool)> reachable;               ///< called when reachability has changed
 };
@@ -53,7 +59,7 @@
 {
 public:
     /// With \a isBootstrap the whole fleet is starting and no node has stored its row yet, so the
-    /// first listing is delayed.
+    /// first listing and the first read of the configuration are delayed.
     StoreTask(EventLoop *loop, const Endpoint &store, std::shared_ptr<const StoreCodec> codec,
               bool isBootstrap, std::uint64_t seed, StoreCallbacks callbacks);
     ~StoreTask() override;
@@ -87,7 +93,8 @@
     void on(RegisterSelf &&message, TimePoint now);
     void on(DeregisterSelf &&message, TimePoint now);
     void on(DeregisterNode &&message, TimePoint now);
-    void on(PeerCountChanged &&message, TimePoint now);
+    void on(FleetChanged &&message, TimePoint now);
+    void on(ConfigurationKnown &&message, TimePoint now);
 
     void startCall(CallKind kind, TimePoint now);
     void finishCall(CallKind kind, const StoreResponse &response, TimePoint now);
@@ -100,8 +107,8 @@
     /// to do again what rests on that.
     void startEra(StoreEra era, CallKind noticedBy, TimePoint now);
     ClientRequest makeRequest(CallKind kind) const;
-    Duration chooseWatchTimeout();
     void publishConfiguration(const StoreResponse &response);
+    void recordListing(const StoreResponse &response, TimePoint now);
     void updateReachable(bool isReachable);
 
     Endpoint m_store;
@@ -112,11 +119,12 @@
     CallState m_calls[CallKindCount];
     std::optional<StoreEra> m_era;    ///< newest that a response has named
     std::uint64_t m_storeVersion = 0; ///< up to which changes of the configuration were read
-    bool m_isWatching = false; ///< the configuration was read; further calls wait for its changes
+    bool m_hasRead = false;           ///< m_storeVersion is set: further calls may wait for changes
+    bool m_isWatching = false; ///< the call in progress waits for a change of the configuration
     std::optional<RegisterSelf> m_self;
     std::deque<std::string> m_keysToRemove;
     bool m_isDeregistering = false;
-    std::size_t m_peerCount = 0;
+    ReadSchedule m_readSchedule;
     Duration m_watchTimeout{0}; ///< longest wait of the store for a change in the watch in progress
     std::optional<bool> m_isReachable;
     std::uint64_t m_callCount = 0;
--- a/src/store/tests/test_store.cpp
+++ b/src/store/tests/test_store.cpp
@@ -47,7 +47,7 @@
     FloodServer server("HTTP/1.1 200 OK\r\n\r\n", "a", floodBytes);
     std::vector<bool> reachable;
     StoreCallbacks callbacks;
-    callbacks.configuration = [](const std::string &, std::optional<StoreEra>) {};
+    callbacks.configuration = [](const std::string &, StoreEra) {};
     callbacks.nodes = [](const std::vector<StoredRow> &) {};
     callbacks.reachable = [&reachable](bool isReachable) { reachable.push_back(isReachable); };
     StoreTask store(&loop, {"127.0.0.1", server.port()}, std::make_shared<TestCodec>(), false, 1,
