Read the configuration again after a failed call, before waiting for changes

Cause: a watch from a version that the copy still holds waits for a change, so the new era shows only when it ends (up to 25 s).

--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -191,6 +191,10 @@
     CallState &call = m_calls[kind];
     endCall(&call);
     updateReachable(false);
+    // The store may come back from a copy. Its response to a read names the era at once, while a
+    // watch would wait for a change first.
+    if (kind == ReadConfiguration)
+        m_hasRead = false;
     if (kind == ReadConfiguration && !m_readSchedule.retriesSoon()) {
         call.nextStart = m_readSchedule.nextCheck(now);
         return;
