Tell callers of a stopping node when to come back

Change: Retry-After as for other refusals; the soak's callers wait for it, as the platform's clients do.

--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -100,10 +100,12 @@
     if (const auto parent = m_runningByCallerRequestId.find(call.parentRequestId);
         parent != m_runningByCallerRequestId.end())
         call.request.parent = parent->second;
-    const Duration timeout = route->timeout;
-    call.request.timeout = std::min(call.request.timeout.value_or(timeout), timeout);
+    const Duration timeout
+            = std::min(call.request.timeout.value_or(route->timeout), route->timeout);
+    call.request.timeout = timeout;
     if (m_stop) {
         if (!fitIntoStop(&call.request, *route, configuration->document.activePreset(), now)) {
+            call.request.timeout = timeout;
             refuseCall(id, call, Error::TargetLeaving, now);
             return;
         }
@@ -150,6 +152,8 @@
     Answer answer = makeRefusal(id, reason, false);
     if (reason == Error::NoConfiguration)
         answer.retryAfter = noConfigurationRetryAfter;
+    else if (reason == Error::TargetLeaving)
+        answer.retryAfter = m_dispatcher.chooseRetryAfter(call.request.timeout.value());
     m_callbacks.respond(m_adapter.callers->makeResponse(id, std::move(answer)));
 }
 
--- a/src/proxy/tests/test_proxy_task.cpp
+++ b/src/proxy/tests/test_proxy_task.cpp
@@ -11,20 +11,25 @@
 
 constexpr Duration gracePeriod = 6s;
 constexpr Duration objective = 1s;
+constexpr Duration routeTimeout = 3s;
 constexpr std::uint32_t slots = 8;
 const ServiceName service{"affirmer"};
 
 class FakeCallerCodec : public CallerCodec
 {
 public:
-    std::optional<ServerResponse> read(ServerRequest, IncomingCall *) const override
+    std::optional<ServerResponse> read(ServerRequest, IncomingCall *call) const override
     {
+        call->host = "swap";
+        call->path = "/affirm/";
         return std::nullopt;
     }
-    ServerResponse makeResponse(RequestId id, Answer) const override
+    ServerResponse makeResponse(RequestId id, Answer answer) const override
     {
         ServerResponse response;
         response.id = id;
+        if (answer.outcome == Outcome::NotRun)
+            response.headers = {{"Retry-After", std::to_string(answer.retryAfter.count())}};
         return response;
     }
     std::string_view callerRequestId(const HttpHeaders &) const override { return "request"; }
@@ -37,6 +42,14 @@
     preset.classes = {{ClassName{"class"}, Rank{0}, Tokens{0}, std::chrono::seconds(5), objective}};
     Configuration configuration;
     configuration.revision = Revision{1};
+    Route route;
+    route.name = OperationName{"affirm"};
+    route.host = "swap";
+    route.prefix = "/affirm/";
+    route.services = {{service, 1.0}};
+    route.className = ClassName{"class"};
+    route.timeout = routeTimeout;
+    configuration.document.routes = RouteTable::create({route}).value();
     configuration.document.activePresetName = preset.name;
     configuration.document.presets.emplace(preset.name, preset);
     return configuration;
@@ -52,10 +65,12 @@
         settings.self = {InstanceId{"node"}, Incarnation{1}, ""};
         settings.drainPropagationDelay = gracePeriod;
         settings.admission.limiter = LimiterKind::Fixed;
+        settings.dispatch.maxRetryAfter = 400ms;
         Adapter adapter;
         adapter.callers = std::make_shared<FakeCallerCodec>();
         ProxyCallbacks callbacks;
-        callbacks.respond = [](const ServerResponse &) {};
+        callbacks.respond
+                = [this](ServerResponse response) { responses.push_back(std::move(response)); };
         callbacks.mesh = [this](MeshMessage message) {
             if (auto *sent = std::get_if<SendOnIncomingStream>(&message))
                 answers.push_back(std::get<Answer>(sent->frame));
@@ -94,6 +109,7 @@
     std::unique_ptr<ProxyTask> task;
     std::vector<Answer> answers;
     std::vector<StartJob> jobs;
+    std::vector<ServerResponse> responses; ///< to the callers beside the node
 };
 
 } // namespace
@@ -143,3 +159,16 @@
     BOOST_REQUIRE(jobs.size() == 1);
     BOOST_TEST((jobs.front().deadline >= before + 20s));
 }
+
+/// Callers that were refused by a node late in its stop sent again at once, many times a second.
+BOOST_FIXTURE_TEST_CASE(aCallRefusedByAStoppingNodeIsToldWhenToComeBack, UpstreamNode)
+{
+    task->post(StopRequest{StopSchedule::startingAt(monotonicNow() - 5s, gracePeriod)});
+    task->post(CallArrived{ServerRequest{}});
+    loop.run_for(50ms);
+    BOOST_REQUIRE(responses.size() == 1);
+    BOOST_REQUIRE(responses.front().headers.size() == 1);
+    const Duration retryAfter{std::stoll(responses.front().headers.front().second)};
+    BOOST_TEST((retryAfter >= 100ms));
+    BOOST_TEST((retryAfter <= routeTimeout / 3));
+}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -51,6 +51,7 @@
         self.random = random.Random(soak.seed * 1000 + number)
         self.count = 0
         self.connection = None
+        self.retry_after_s = 0.0  # that the last answer asked for
         self.requests = []
         self.paths = ["/status/x", "/affirm/x", "probe"]
         self.long_work = (LONG_WORK_SHARE, dict.fromkeys(self.paths, LONG_WORK_MS))
@@ -61,7 +62,7 @@
             instance = self.soak.deployment.instances[
                 (self.number + self.count // 20) % len(self.soak.deployment.instances)]
             self.send_random_request(instance)
-            time.sleep(self.random.uniform(0.0, 0.02))
+            time.sleep(self.retry_after_s or self.random.uniform(0.0, 0.02))
 
     def send_random_request(self, instance):
         path = self.random.choice(self.paths)
@@ -85,6 +86,7 @@
             request.update(method="POST", body=f"amount={self.count}")
         request.update(path=path, sent=now())
         self.requests.append(request)
+        self.retry_after_s = 0.0
         try:
             self.exchange(instance, request)
         except (OSError, http.client.HTTPException) as error:
@@ -113,6 +115,8 @@
         connection.request(request["method"], request["path"], request["body"] or None, headers)
         response = connection.getresponse()
         answer = response.read().decode()
+        if response.status in checks.NOT_RUN_STATUSES:
+            self.retry_after_s = float(response.headers.get("Retry-After", 0.0))
         request.update(status=response.status, answer=answer,
                        signature=response.headers.get("X-Server-Signature"))
 
@@ -137,7 +141,7 @@
         time.sleep(self.wait_s)
         while self.process.poll() is None and (self.end is None or now() < self.end):
             self.send_random_request(self.instance)
-            time.sleep(self.random.uniform(0.0, 0.3))
+            time.sleep(self.retry_after_s or self.random.uniform(0.0, 0.3))
 
 
 class Soak:
