Log why streams end, where a configuration came from, and outdated announcements

Change: lines announcement-outdated and peer-stream-ended (rate-limited), field source of configuration-taken. No decision changes.

--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -2,6 +2,7 @@
 #include "mesh/stream_p.h"
 
 #include <algorithm>
+#include <array>
 
 namespace buckthornford {
 
@@ -15,6 +16,13 @@
 
 } // namespace
 
+std::string_view streamEndName(StreamEnd end)
+{
+    static constexpr std::array<std::string_view, 4> names{"closed", "silent", "replaced",
+                                                           "malformed"};
+    return names[static_cast<std::size_t>(end)];
+}
+
 Result<std::unique_ptr<MeshTask>> MeshTask::listen(EventLoop *loop, const Endpoint &endpoint,
                                                    const PeerRef &self, MeshEvents *events,
                                                    MeshSettings settings)
@@ -83,7 +91,7 @@
             return found->second;
         // The instance has restarted: the old stream's unanswered attempts won't be answered.
         const std::shared_ptr<MeshStream> old = found->second;
-        old->closeAndReport();
+        old->closeAndReport(StreamEnd::Replaced);
     }
     auto stream = std::make_shared<MeshStream>(this, peer);
     m_outgoing.insert_or_assign(peer.instance, stream);
@@ -132,7 +140,7 @@
             silent.push_back(stream);
     }
     for (const auto &stream : silent)
-        stream->closeAndReport();
+        stream->closeAndReport(StreamEnd::Silent);
     const bool isHandshakePending
             = std::any_of(m_outgoing.begin(), m_outgoing.end(),
                           [](const auto &item) { return !item.second->wasOpen(); });
@@ -147,7 +155,7 @@
         m_events->onIncomingFrame(stream->id(), stream->peer(), std::move(frame));
 }
 
-void MeshTask::onEnded(MeshStream *stream)
+void MeshTask::onEnded(MeshStream *stream, StreamEnd end)
 {
     if (!stream->isOutgoing()) {
         const StreamId id = stream->id();
@@ -160,7 +168,7 @@
     const auto found = m_outgoing.find(peer);
     if (found != m_outgoing.end() && found->second.get() == stream)
         m_outgoing.erase(found);
-    m_events->onPeerStreamEnded(peer, wasOpen, stream->takeUnanswered());
+    m_events->onPeerStreamEnded(peer, end, wasOpen, stream->takeUnanswered());
 }
 
 } // namespace buckthornford
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <memory>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 
@@ -30,6 +31,17 @@
 
 using MeshMessage = std::variant<SendToPeer, SendOnIncomingStream>;
 
+/// Why a stream has ended.
+enum class StreamEnd {
+    Closed,    ///< the connection was closed, reset or refused
+    Silent,    ///< the peer sent nothing for too long
+    Replaced,  ///< a stream to another start of the peer takes its place
+    Malformed, ///< the peer sent what is no message, or is another instance
+};
+
+/// Returns the name for the log.
+std::string_view streamEndName(StreamEnd end);
+
 /// Events on the streams. Hello, ping and pong frames are not reported.
 class MeshEvents
 {
@@ -43,7 +55,7 @@
     /// No other attempts at that peer are affected: a new stream to it may be in use already.
     /// \a wasOpen tells whether the peer had sent its hello: if so, the attempts may have arrived
     /// there; if not, they were not sent.
-    virtual void onPeerStreamEnded(const InstanceId &peer, bool wasOpen,
+    virtual void onPeerStreamEnded(const InstanceId &peer, StreamEnd end, bool wasOpen,
                                    std::vector<AttemptRef> unanswered)
             = 0;
 
@@ -100,7 +112,7 @@
     void on(SendOnIncomingStream &&message, TimePoint now);
     std::shared_ptr<MeshStream> streamTo(const PeerRef &peer);
     void onFrame(MeshStream *stream, Frame frame);
-    void onEnded(MeshStream *stream);
+    void onEnded(MeshStream *stream, StreamEnd end);
     void scheduleFlush(const std::shared_ptr<MeshStream> &stream);
 
     std::unique_ptr<Listener> m_listener;
--- a/src/mesh/stream.cpp
+++ b/src/mesh/stream.cpp
@@ -60,7 +60,7 @@
                                if (self->m_isClosed)
                                    return;
                                if (failure)
-                                   self->closeAndReport();
+                                   self->closeAndReport(StreamEnd::Closed);
                                else
                                    self->start();
                            });
@@ -118,7 +118,7 @@
                 if (self->m_writeBuffer.capacity() > maxIdleCapacity)
                     std::string().swap(self->m_writeBuffer);
                 if (error)
-                    self->closeAndReport();
+                    self->closeAndReport(StreamEnd::Closed);
                 else
                     self->flush();
             });
@@ -141,7 +141,7 @@
     if (m_isClosed)
         return;
     if (state != ReadState::Open)
-        closeAndReport();
+        closeAndReport(StreamEnd::Closed);
     else
         waitForData();
 }
@@ -152,7 +152,7 @@
     while (!m_isClosed && m_readBuffer.size() - offset >= prefixSize) {
         const std::uint32_t length = readLength(std::string_view(m_readBuffer).substr(offset));
         if (length > maxBatchSize) {
-            closeAndReport();
+            closeAndReport(StreamEnd::Malformed);
             return;
         }
         if (m_readBuffer.size() - offset - prefixSize < length)
@@ -162,7 +162,7 @@
                                                   static_cast<int>(length));
         offset += prefixSize + length;
         if (!isValid) {
-            closeAndReport();
+            closeAndReport(StreamEnd::Malformed);
             return;
         }
         for (wire::Frame &encoded : *batch.mutable_frames()) {
@@ -200,7 +200,7 @@
     const bool isExpected = !isOutgoing() || m_peer.incarnation == Incarnation{}
                             || m_peer.instance == peer.instance;
     if (!isExpected) {
-        closeAndReport(); // Another instance listens at the address by now.
+        closeAndReport(StreamEnd::Malformed); // Another instance listens at the address by now.
         return;
     }
     if (!isOutgoing())
@@ -240,12 +240,12 @@
     m_socket.close(ignored);
 }
 
-void MeshStream::closeAndReport()
+void MeshStream::closeAndReport(StreamEnd end)
 {
     if (m_isClosed)
         return;
     close();
-    m_owner->onEnded(this);
+    m_owner->onEnded(this, end);
 }
 
 } // namespace buckthornford
--- a/src/mesh/stream_p.h
+++ b/src/mesh/stream_p.h
@@ -59,7 +59,7 @@
     void onHello(const PeerRef &peer);
     void write(wire::Batch *batch);
     /// Closes the socket and tells the owner that the stream has ended.
-    void closeAndReport();
+    void closeAndReport(StreamEnd end);
 
     MeshTask *m_owner;
     Socket m_socket;
--- a/src/mesh/tests/test_mesh.cpp
+++ b/src/mesh/tests/test_mesh.cpp
@@ -15,7 +15,7 @@
         outgoingPeers.push_back(peer);
         outgoingStreamFrames.push_back(std::move(frame));
     }
-    void onPeerStreamEnded(const InstanceId &, bool wasOpen,
+    void onPeerStreamEnded(const InstanceId &, StreamEnd, bool wasOpen,
                            std::vector<AttemptRef> unanswered) override
     {
         outgoingEndsWasOpen.push_back(wasOpen);
--- a/src/proxy/proxy_log.cpp
+++ b/src/proxy/proxy_log.cpp
@@ -48,6 +48,21 @@
                            now);
 }
 
+/// Logs an announcement that arrived late, with what this node knows of the upstream.
+void ProxyTask::logOutdated(const UpstreamAnnouncement &announcement, TimePoint now)
+{
+    if (!m_callbacks.log->tryAcquire(LogCategory::Problem, now))
+        return;
+    m_callbacks.log->write(
+            LogCategory::Problem, "announcement-outdated",
+            {{"upstream", announcement.id},
+             {"start", static_cast<std::int64_t>(announcement.start.value_or(0))},
+             {"sequence", static_cast<std::int64_t>(announcement.sequence)},
+             {"known_upstream", m_upstream ? m_upstream->id : std::string()},
+             {"known_sequence", static_cast<std::int64_t>(m_upstream ? m_upstream->sequence : 0)}},
+            now);
+}
+
 /// Logs a call that this node takes although the process has been told to stop.
 void ProxyTask::logCallTakenWhileStopping(const IncomingCall &call, Duration timeout, TimePoint now)
 {
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -205,6 +205,7 @@
     void logCallEnd(const FinishCall &action, TimePoint now);
     void logAttempt(const InstanceId &target, const Answer &answer, TimePoint now);
     void logUpstreamEvent(std::string_view event, TimePoint now);
+    void logOutdated(const UpstreamAnnouncement &announcement, TimePoint now);
     void logCallTakenWhileStopping(const IncomingCall &call, Duration timeout, TimePoint now);
     Duration sinceStop(TimePoint now) const;
     bool fitIntoStop(CallRequest *request, const Route &route, const Preset &preset,
--- a/src/proxy/proxy_upstream.cpp
+++ b/src/proxy/proxy_upstream.cpp
@@ -80,8 +80,10 @@
 void ProxyTask::on(AnnouncementArrived &&message, TimePoint now)
 {
     const UpstreamAnnouncement &announcement = message.announcement;
-    if (!isNewer(announcement))
+    if (!isNewer(announcement)) {
+        logOutdated(announcement, now);
         return;
+    }
     const bool isSame = m_upstream && m_upstream->id == announcement.id
                         && m_upstream->start == announcement.start;
     if (announcement.state == UpstreamAnnouncement::State::Deregistered) {
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -55,7 +55,7 @@
     void onClientDisconnected(RequestId id) override { proxy->post(CallerDisconnected{id}); }
 
     void onPeerFrame(const PeerRef &peer, Frame frame) override;
-    void onPeerStreamEnded(const InstanceId &peer, bool wasOpen,
+    void onPeerStreamEnded(const InstanceId &peer, StreamEnd end, bool wasOpen,
                            std::vector<AttemptRef> unanswered) override;
     void onIncomingFrame(StreamId stream, const PeerRef &from, Frame frame) override;
     void onIncomingStreamEnded(StreamId stream) override
@@ -67,7 +67,7 @@
     ServerResponse handleAnnouncement(const ServerRequest &request);
     ServerResponse metricsResponse(const ServerRequest &request) const;
 
-    void acceptConfiguration(const std::string &text, StoreEra era);
+    void acceptConfiguration(const std::string &text, StoreEra era, std::string_view source);
     void probeUpstream();
     void runPeriodicWork();
     void readSettings();
@@ -169,8 +169,9 @@
         if (store)
             store->post(fleet);
     };
-    callbacks.configuration
-            = [this](const std::string &text, StoreEra era) { acceptConfiguration(text, era); };
+    callbacks.configuration = [this](const std::string &text, StoreEra era) {
+        acceptConfiguration(text, era, "peer");
+    };
     callbacks.poisonEvents
             = [this](PoisonEventsArrived poisonEvents) { proxy->post(std::move(poisonEvents)); };
     callbacks.nodeExpired = [this](const InstanceId &instance) {
@@ -183,8 +184,9 @@
 StoreCallbacks ServiceNode::Private::storeCallbacks()
 {
     StoreCallbacks callbacks;
-    callbacks.configuration
-            = [this](const std::string &text, StoreEra era) { acceptConfiguration(text, era); };
+    callbacks.configuration = [this](const std::string &text, StoreEra era) {
+        acceptConfiguration(text, era, "store");
+    };
     callbacks.nodes = [this](const std::vector<StoredRow> &rows) {
         SeedsFound seeds;
         for (const StoredRow &row : rows)
@@ -235,9 +237,17 @@
     proxy->post(PeerFrameArrived{peer.instance, std::move(frame)});
 }
 
-void ServiceNode::Private::onPeerStreamEnded(const InstanceId &peer, bool wasOpen,
+void ServiceNode::Private::onPeerStreamEnded(const InstanceId &peer, StreamEnd end, bool wasOpen,
                                              std::vector<AttemptRef> unanswered)
 {
+    const TimePoint now = monotonicNow();
+    if (log.tryAcquire(LogCategory::Problem, now))
+        log.write(LogCategory::Problem, "peer-stream-ended",
+                  {{"peer", peer.value()},
+                   {"reason", streamEndName(end)},
+                   {"was_open", wasOpen},
+                   {"unanswered", static_cast<std::int64_t>(unanswered.size())}},
+                  now);
     proxy->post(PeerStreamEnded{peer, wasOpen, std::move(unanswered)});
     gossip->post(GossipStreamEnded{peer, wasOpen});
 }
@@ -291,8 +301,10 @@
 
 /// Takes the configuration \a text, which the store held in \a era, if its version is newer than
 /// the one in use. A revision never reverts. The same revision comes with another text only if the
-/// store has lost the first one; the text of the newer era was acknowledged last.
-void ServiceNode::Private::acceptConfiguration(const std::string &text, StoreEra era)
+/// store has lost the first one; the text of the newer era was acknowledged last. \a source is for
+/// the log.
+void ServiceNode::Private::acceptConfiguration(const std::string &text, StoreEra era,
+                                               std::string_view source)
 {
     const Result<Configuration> configuration = adapter.store->parseConfiguration(text);
     if (!configuration) {
@@ -315,7 +327,8 @@
         return;
     log.write(LogCategory::Process, "configuration-taken",
               {{"revision", static_cast<std::int64_t>(version.revision.value())},
-               {"store_era", static_cast<std::int64_t>(era.value())}},
+               {"store_era", static_cast<std::int64_t>(era.value())},
+               {"source", source}},
               monotonicNow());
     callerServer->post(adapter.store->callerLimits(text));
     if (store)
