Remember the departure of an upstream beyond the end of its node's process

Cause: the leave was kept in the memory of the node's process only; a late heartbeat was the first announcement of the next process and so taken for news. On the same path: draining instead of deregistering, a restart of all nodes, a restart without the store, a deregistration at a process that doesn't know the target yet. Ruled out: peers that send by an old entry; the admission controller refuses those. Change: slice departure; a row in the store, written before the acknowledgement (0.6 s at the most); the departure in the gossip entry, kept from one start of the node to the next; a new process waits for the row (1 s at the most) before it uses a target.

--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -198,6 +198,17 @@
     out->set_slots(member.slots.value());
     out->set_callers_address(member.callersAddress);
     out->set_operator_address(member.operatorAddress);
+    if (member.departure) {
+        out->mutable_departure()->set_upstream(member.departure->upstream);
+        out->mutable_departure()->set_start(member.departure->start.value());
+    }
+}
+
+std::optional<UpstreamDeparture> decodeDeparture(const wire::Member &in)
+{
+    if (!in.has_departure())
+        return std::nullopt;
+    return UpstreamDeparture{in.departure().upstream(), UpstreamStart{in.departure().start()}};
 }
 
 /// Returns nothing for an unknown state or an empty instance id.
@@ -214,7 +225,8 @@
                   RegionName{in.region()},
                   Slots{in.slots()},
                   in.callers_address(),
-                  in.operator_address()};
+                  in.operator_address(),
+                  decodeDeparture(in)};
 }
 
 void encodeKind(const Gossip &gossip, wire::Frame *frame)
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -38,6 +38,16 @@
     return checksum("bridge/" + instance.value());
 }
 
+/// Replaces \a known by \a departure if that is newer. Returns whether it was.
+bool keepNewest(const std::optional<UpstreamDeparture> &departure,
+                std::optional<UpstreamDeparture> *known)
+{
+    if (!departure || !isNews(*departure, *known))
+        return false;
+    *known = departure;
+    return true;
+}
+
 PeerRef seedPeer(const std::string &address)
 {
     return {InstanceId{"@" + address}, Incarnation{0}, address};
@@ -90,11 +100,13 @@
 }
 
 Membership::OutgoingGossips Membership::announce(MemberState state, Slots slots,
-                                                 const ServiceName &service)
+                                                 const ServiceName &service,
+                                                 const std::optional<UpstreamDeparture> &departure)
 {
     m_self.state = state;
     m_self.slots = slots;
     m_self.service = service;
+    keepNewest(departure, &m_self.departure);
     ++m_self.version;
     ++m_changeCount;
     return disseminateMembers({m_self}, std::nullopt);
@@ -111,14 +123,37 @@
     ++m_changeCount;
 }
 
-bool Membership::merge(const Member &member, TimePoint now)
+/// Merges a report of this node itself, which may be older. Returns whether its own entry has
+/// changed and is to be passed on.
+bool Membership::receiveOwnEntry(const Member &entry)
+{
+    const bool hasNews = keepNewest(entry.departure, &m_self.departure);
+    const bool isRefuted = supersedes(entry, m_self);
+    if (hasNews || isRefuted)
+        refute(isRefuted ? entry : m_self);
+    return hasNews || isRefuted;
+}
+
+/// Merges a report of another node. Returns the new entry if it has changed, null if not.
+const Member *Membership::merge(const Member &member, TimePoint now)
 {
     const auto found = m_others.find(member.peer.instance);
-    if (found != m_others.end() && !supersedes(member, found->second.member))
-        return false;
-    m_others.insert_or_assign(member.peer.instance, KnownMember{member, now});
+    if (found == m_others.end()) {
+        ++m_changeCount;
+        return &m_others.emplace(member.peer.instance, KnownMember{member, now})
+                        .first->second.member;
+    }
+    KnownMember &known = found->second;
+    std::optional<UpstreamDeparture> departure = known.member.departure;
+    const bool hasNews = keepNewest(member.departure, &departure);
+    const bool isNewer = supersedes(member, known.member);
+    if (!hasNews && !isNewer)
+        return nullptr;
+    if (isNewer)
+        known = {member, now};
+    known.member.departure = std::move(departure);
     ++m_changeCount;
-    return true;
+    return &known.member;
 }
 
 Membership::OutgoingGossips Membership::receive(const PeerRef &from, const Gossip &gossip,
@@ -127,10 +162,9 @@
     std::vector<Member> updates;
     for (const Member &member : gossip.members) {
         if (member.peer.instance != m_self.peer.instance) {
-            if (merge(member, now))
-                updates.push_back(member);
-        } else if (supersedes(member, m_self)) {
-            refute(member);
+            if (const Member *merged = merge(member, now))
+                updates.push_back(*merged);
+        } else if (receiveOwnEntry(member)) {
             updates.push_back(m_self);
         }
     }
@@ -297,9 +331,12 @@
 {
     std::vector<std::uint64_t> hashes(bucketCount, 0);
     const auto add = [&hashes](const Member &member) {
-        const std::string text
-                = member.peer.instance.value() + '/' + toHex(member.peer.incarnation.value()) + '/'
-                  + std::to_string(member.version) + '/' + std::to_string(severity(member));
+        std::string text = member.peer.instance.value() + '/'
+                           + toHex(member.peer.incarnation.value()) + '/'
+                           + std::to_string(member.version) + '/'
+                           + std::to_string(severity(member));
+        if (member.departure)
+            text += '/' + std::to_string(member.departure->start.value());
         hashes[bucketOf(member.peer.instance)] ^= checksum(text);
     };
     add(m_self);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -4,6 +4,7 @@
 
 #include "call/call.h"
 #include "core/core.h"
+#include "departure/departure.h"
 #include "poison/poison.h"
 #include "preset/preset.h"
 
@@ -41,6 +42,9 @@
     Slots slots;
     std::string callersAddress;
     std::string operatorAddress;
+    /// Newest departure of an upstream beside the node. Kept from one start of the node to the
+    /// next, so that the node learns it from its peers.
+    std::optional<UpstreamDeparture> departure;
 
     bool isLive() const { return state < MemberState::Dead; }
     bool isServing() const { return state == MemberState::Serving; }
@@ -113,8 +117,10 @@
     /// Adds peer addresses of nodes through which this node may join the fleet.
     void addSeeds(std::vector<std::string> seeds);
 
-    /// Changes this node's own entry and advertises it to the neighbours.
-    OutgoingGossips announce(MemberState state, Slots slots, const ServiceName &service);
+    /// Changes this node's own entry and advertises it to the neighbours. The entry keeps a newer
+    /// departure than \a departure.
+    OutgoingGossips announce(MemberState state, Slots slots, const ServiceName &service,
+                             const std::optional<UpstreamDeparture> &departure = std::nullopt);
 
     /// Merges what \a from sent into the table. Returns the reply to \a from first, if there is
     /// one, and then the updates to relay to the neighbours.
@@ -185,8 +191,9 @@
 
     static constexpr std::size_t bucketCount = 64;
 
-    bool merge(const Member &member, TimePoint now);
+    const Member *merge(const Member &member, TimePoint now);
     void refute(const Member &claim);
+    bool receiveOwnEntry(const Member &entry);
     std::vector<std::uint64_t> bucketHashes() const;
     std::vector<Member> membersInDifferingBuckets(const std::vector<std::uint64_t> &theirs) const;
     std::vector<PeerRef> ringNeighbours() const;
--- a/src/proxy/adapter.h
+++ b/src/proxy/adapter.h
@@ -112,6 +112,14 @@
     /// Returns a request that stores \a value, the peer address of a node, under \a key.
     virtual ClientRequest putNode(const std::string &key, const std::string &value) const = 0;
     virtual ClientRequest removeNode(const std::string &key) const = 0;
+
+    /// Returns a request that removes all rows of the node \a key, which is gone for good.
+    virtual ClientRequest removeExpiredNode(const std::string &key) const = 0;
+
+    /// Returns requests that store and read \a value, the departure of the upstream beside the
+    /// node \a key.
+    virtual ClientRequest putDeparture(const std::string &key, const std::string &value) const = 0;
+    virtual ClientRequest readDeparture(const std::string &key) const = 0;
     virtual ClientRequest listNodes() const = 0;
 
     virtual StoreResponse read(const ClientResponse &response) const = 0;
@@ -119,6 +127,9 @@
     /// Whether \a row holds the operator's configuration.
     virtual bool isConfiguration(const StoredRow &row) const = 0;
 
+    /// Whether \a row holds the departure of the upstream beside the node \a key.
+    virtual bool isDeparture(const StoredRow &row, const std::string &key) const = 0;
+
     /// Returns Error::BadDocument if any part of \a text is not a valid configuration.
     virtual Result<Configuration> parseConfiguration(std::string_view text) const = 0;
 
--- a/src/proxy/gossip_task.cpp
+++ b/src/proxy/gossip_task.cpp
@@ -56,6 +56,11 @@
     }
     m_callbacks.members({std::move(members)});
     m_callbacks.fleet({m_liveCount, m_membership.isConfigurationReader()});
+    const std::optional<UpstreamDeparture> &departure = m_membership.self().departure;
+    if (departure && departure != m_publishedDeparture) {
+        m_publishedDeparture = departure;
+        m_callbacks.departure(*departure);
+    }
 }
 
 void GossipTask::on(GossipArrived &&message, TimePoint now)
@@ -98,7 +103,7 @@
 
 void GossipTask::on(NodeStatus &&message, TimePoint)
 {
-    send(m_membership.announce(message.state, message.slots, message.service));
+    send(m_membership.announce(message.state, message.slots, message.service, message.departure));
 }
 
 void GossipTask::on(PoisonEventsArrived &&message, TimePoint)
--- a/src/proxy/gossip_task.h
+++ b/src/proxy/gossip_task.h
@@ -53,6 +53,8 @@
     /// Text of a newer configuration from a peer, and the era of the store that held it.
     std::function<void(const std::string &, StoreEra)> configuration;
     std::function<void(PoisonEventsArrived)> poisonEvents;
+    /// Newest departure of an upstream beside this node that it or a peer remembers.
+    std::function<void(const UpstreamDeparture &)> departure;
     std::function<void(InstanceId)> nodeExpired; ///< its registration in the store is to be removed
 };
 
@@ -80,6 +82,7 @@
     GossipCallbacks m_callbacks;
     std::uint64_t m_publishedChange = 0; ///< change count of the members published last
     std::size_t m_liveCount = 0;
+    std::optional<UpstreamDeparture> m_publishedDeparture;
 };
 
 } // namespace buckthornford
--- a/src/proxy/node_policy.cpp
+++ b/src/proxy/node_policy.cpp
@@ -50,6 +50,7 @@
     proxy.retrySlack = settings.retrySlack * dispatchRetryShare;
     proxy.queueDrainTimeout = scaled(settings.drainTimeout, queueDrainShare);
     proxy.drainPropagationDelay = scaled(settings.drainTimeout, drainPropagationShare);
+    proxy.readsDeparture = settings.storeEndpoint && !settings.isBootstrap;
     proxy.seed = seed;
     return proxy;
 }
--- a/src/proxy/proxy_log.cpp
+++ b/src/proxy/proxy_log.cpp
@@ -63,6 +63,17 @@
             now);
 }
 
+/// Logs a departure that this node did not hear from the upstream itself in this start, or that it
+/// acknowledges without the store.
+void ProxyTask::logDeparture(std::string_view source, TimePoint now)
+{
+    m_callbacks.log->write(LogCategory::Process, "upstream-departure",
+                           {{"upstream", m_departure->upstream},
+                            {"start", static_cast<std::int64_t>(m_departure->start.value())},
+                            {"source", source}},
+                           now);
+}
+
 /// Logs a call that this node takes although the process has been told to stop.
 void ProxyTask::logCallTakenWhileStopping(const IncomingCall &call, Duration timeout, TimePoint now)
 {
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -50,7 +50,10 @@
     , m_dispatcher(makeDispatchSettings(settings, &m_poison))
     , m_admission(makeAdmissionSettings(settings, &m_poison))
     , m_chooser(settings.seed)
-{}
+{
+    if (settings.readsDeparture)
+        m_departureReadDeadline = monotonicNow() + settings.departureReadTimeout;
+}
 
 void ProxyTask::handle(ProxyMessage &&message, TimePoint now)
 {
@@ -66,6 +69,7 @@
     carryOut(m_dispatcher.tick(now, unusedWallTime), now);
     carryOut(m_admission.tick(now, unusedWallTime), now);
     m_poison.expire(now);
+    doDepartureWork(now);
     advanceDrain(now);
     publishStatus();
     const bool isBusy = m_dispatcher.openCalls() > 0 || m_admission.queued() > 0;
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -70,12 +70,29 @@
     bool isReachable = true; ///< it accepts connections
 };
 
-/// The upstream beside this node has reported its state.
+/// The upstream beside this node has reported its state in \a request.
 struct AnnouncementArrived
 {
+    RequestId request;
     UpstreamAnnouncement announcement;
 };
 
+/// What an earlier start of this node knew of its upstream's departure, from the store.
+struct DepartureRead
+{
+    std::optional<UpstreamDeparture> departure; ///< not set if no departure was stored
+};
+
+/// A departure of an upstream beside this node that a peer remembers.
+struct DepartureReported
+{
+    UpstreamDeparture departure;
+};
+
+/// The newest departure that this node knows is in the store.
+struct DepartureStored
+{};
+
 /// The membership table has changed.
 struct MembersChanged
 {
@@ -110,8 +127,9 @@
 using ProxyMessage
         = std::variant<CallArrived, CallerDisconnected, PeerFrameArrived, PeerStreamEnded,
                        IncomingFrameArrived, IncomingStreamEnded, ExecutionEnded, UpstreamProbed,
-                       AnnouncementArrived, MembersChanged, ConfigurationChanged,
-                       PoisonEventsArrived, SettingsChanged, StopRequest>;
+                       AnnouncementArrived, DepartureRead, DepartureReported, DepartureStored,
+                       MembersChanged, ConfigurationChanged, PoisonEventsArrived,
+                       SettingsChanged, StopRequest>;
 
 /// What a node advertises about itself by gossip.
 struct NodeStatus
@@ -119,6 +137,7 @@
     MemberState state = MemberState::Joining;
     Slots slots;
     ServiceName service;
+    std::optional<UpstreamDeparture> departure; ///< newest of an upstream beside the node
 
     friend bool operator==(const NodeStatus &, const NodeStatus &) = default;
 };
@@ -132,6 +151,10 @@
     std::function<void()> probeUpstream;
     std::function<void(NodeStatus)> status;
     std::function<void(PoisonEventsArrived)> poisonEvents;
+    /// Confirms an announcement to the upstream.
+    std::function<void(RequestId)> acknowledge;
+    /// Asks to store a departure; DepartureStored is the response.
+    std::function<void(const UpstreamDeparture &)> storeDeparture;
     EventLog *log = nullptr; ///< not null
 };
 
@@ -149,6 +172,13 @@
     Duration drainPropagationDelay{std::chrono::milliseconds(700)};
     /// From the start of a drain until queued requests are refused.
     Duration queueDrainTimeout{std::chrono::milliseconds(2000)};
+    /// An earlier start of this node may have stored a departure: upstreams are taken into use only
+    /// once that has been read, or after departureReadTimeout.
+    bool readsDeparture = false;
+    Duration departureReadTimeout{std::chrono::seconds(1)};
+    /// Longest time until a departure is acknowledged that can't be stored. The upstream waits a
+    /// second for it.
+    Duration departureStoreTimeout{std::chrono::milliseconds(600)};
     std::uint64_t seed = 1;
 };
 
@@ -187,6 +217,9 @@
     void on(ExecutionEnded &&message, TimePoint now);
     void on(UpstreamProbed &&message, TimePoint now);
     void on(AnnouncementArrived &&message, TimePoint now);
+    void on(DepartureRead &&message, TimePoint now);
+    void on(DepartureReported &&message, TimePoint now);
+    void on(DepartureStored &&message, TimePoint now);
     void on(MembersChanged &&message, TimePoint now);
     void on(ConfigurationChanged &&message, TimePoint now);
     void on(PoisonEventsArrived &&message, TimePoint now);
@@ -215,7 +248,14 @@
     void runLocally(const RunRequest &run, ReplyTo from, TimePoint now);
     void finishExecution(UpstreamResult result, TimePoint now);
     bool isNewer(const UpstreamAnnouncement &announcement) const;
+    void useUpstream(const UpstreamAnnouncement &announcement, TimePoint now);
     void startUpstreamDrain(TimePoint now);
+    bool adoptDeparture(const UpstreamDeparture &departure, TimePoint now);
+    void recordDeparture(const UpstreamDeparture &departure, TimePoint now);
+    void acknowledgeDeparture(RequestId request);
+    void endDepartureRead(TimePoint now);
+    void doDepartureWork(TimePoint now);
+    void logDeparture(std::string_view source, TimePoint now);
     void advanceDrain(TimePoint now);
     void recordCrash(const Work &work, std::uint64_t crash, TimePoint now);
     void recordCompletion(const Work &work, TimePoint now);
@@ -236,6 +276,15 @@
     ServiceChooser m_chooser;
     std::optional<UpstreamAnnouncement> m_upstream; ///< newest report of the current instance
     std::optional<TimePoint> m_upstreamDrainStart;  ///< when the upstream's drain started
+    /// Newest departure of an upstream beside this node, in this start of the node or before.
+    std::optional<UpstreamDeparture> m_departure;
+    /// Until when announcements of serving upstreams wait for the departure stored before; not set
+    /// once it is known.
+    std::optional<TimePoint> m_departureReadDeadline;
+    std::vector<UpstreamAnnouncement> m_heldAnnouncements; ///< that wait for it
+    /// Until when the acknowledgements of a departure wait for the store; not set if none does.
+    std::optional<TimePoint> m_departureStoreDeadline;
+    std::vector<RequestId> m_heldAcknowledgements; ///< announcements of that departure
     std::optional<StopSchedule> m_stop;             ///< set once the process was told to stop
     std::optional<NodeStatus> m_publishedStatus;
     std::unordered_map<ExecutionId, Work> m_runningWork; ///< of the executions in progress
--- a/src/proxy/proxy_upstream.cpp
+++ b/src/proxy/proxy_upstream.cpp
@@ -64,9 +64,14 @@
 }
 
 /// Returns whether \a announcement is newer than the last one used. Announcements can arrive late:
-/// those of an earlier start, and earlier ones of the same start, are outdated.
+/// those of an earlier start, earlier ones of the same start, and those of an upstream that has
+/// left meanwhile are outdated.
 bool ProxyTask::isNewer(const UpstreamAnnouncement &announcement) const
 {
+    const UpstreamStart start{announcement.start.value_or(0)};
+    const bool isLeaving = announcement.state != UpstreamAnnouncement::State::Serving;
+    if (m_departure && m_departure->covers(announcement.id, start))
+        return isLeaving && m_departure->start == start;
     if (!m_upstream)
         return true;
     if (announcement.start && m_upstream->start && *announcement.start != *m_upstream->start)
@@ -82,22 +87,36 @@
     const UpstreamAnnouncement &announcement = message.announcement;
     if (!isNewer(announcement)) {
         logOutdated(announcement, now);
+        m_callbacks.acknowledge(message.request);
         return;
     }
-    const bool isSame = m_upstream && m_upstream->id == announcement.id
-                        && m_upstream->start == announcement.start;
-    if (announcement.state == UpstreamAnnouncement::State::Deregistered) {
-        if (m_upstream && m_upstream->id == announcement.id)
-            startUpstreamDrain(now);
+    if (announcement.state == UpstreamAnnouncement::State::Serving) {
+        m_callbacks.acknowledge(message.request);
+        if (m_departureReadDeadline)
+            m_heldAnnouncements.push_back(announcement);
+        else
+            useUpstream(announcement, now);
         return;
     }
-    m_upstream = announcement;
-    if (announcement.state == UpstreamAnnouncement::State::Draining) {
-        startUpstreamDrain(now);
+    if (announcement.state == UpstreamAnnouncement::State::Draining)
+        m_upstream = announcement;
+    const bool isKnown = m_upstream && m_upstream->id == announcement.id;
+    if (!announcement.start && !isKnown) {
+        m_callbacks.acknowledge(message.request); // It can't be told which start has left.
         return;
     }
-    if (isSame && m_upstreamDrainStart)
-        return; // An upstream that has announced its drain serves again only after a restart.
+    const std::optional<std::uint64_t> start
+            = announcement.start ? announcement.start : m_upstream->start;
+    recordDeparture({announcement.id, UpstreamStart{start.value_or(0)}}, now);
+    startUpstreamDrain(now);
+    acknowledgeDeparture(message.request);
+}
+
+void ProxyTask::useUpstream(const UpstreamAnnouncement &announcement, TimePoint now)
+{
+    const bool isSame = m_upstream && m_upstream->id == announcement.id
+                        && m_upstream->start == announcement.start;
+    m_upstream = announcement;
     m_upstreamDrainStart.reset();
     if (!m_stop)
         m_admission.stopDraining();
@@ -182,7 +201,7 @@
 
 void ProxyTask::publishStatus()
 {
-    NodeStatus status{state(), {}, {}};
+    NodeStatus status{state(), {}, {}, m_departure};
     if (m_upstream) {
         status.slots = m_upstream->slots;
         status.service = m_upstream->service;
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -17,18 +17,23 @@
 constexpr Duration periodicWorkInterval = std::chrono::milliseconds(250);
 constexpr Duration settingsReloadInterval = std::chrono::seconds(2);
 
-/// Responds to HTTP requests at once, without waiting for a task; used for readiness, announcements
-/// and metrics.
-class ImmediateHandler : public HttpServerEvents
+/// Responds to HTTP requests without a task of its own; used for readiness, announcements and
+/// metrics.
+class SimpleHandler : public HttpServerEvents
 {
 public:
-    using Responder = std::function<ServerResponse(const ServerRequest &)>;
+    /// Returns nothing if the response is posted to the server later.
+    using Responder = std::function<std::optional<ServerResponse>(const ServerRequest &)>;
 
-    explicit ImmediateHandler(Responder responder)
+    explicit SimpleHandler(Responder responder)
         : m_responder(std::move(responder))
     {}
 
-    void onRequest(ServerRequest request) override { server->post(m_responder(request)); }
+    void onRequest(ServerRequest request) override
+    {
+        if (std::optional<ServerResponse> response = m_responder(request))
+            server->post(std::move(*response));
+    }
     void onClientDisconnected(RequestId) override {}
 
     std::unique_ptr<HttpServerTask> server;
@@ -64,7 +69,7 @@
     }
 
     ServerResponse readinessResponse(const ServerRequest &request) const;
-    ServerResponse handleAnnouncement(const ServerRequest &request);
+    std::optional<ServerResponse> handleAnnouncement(const ServerRequest &request);
     ServerResponse metricsResponse(const ServerRequest &request) const;
 
     void acceptConfiguration(const std::string &text, StoreEra era, std::string_view source);
@@ -89,11 +94,11 @@
     std::unique_ptr<UpstreamTask> upstream;
     std::unique_ptr<MeshTask> mesh;
     std::unique_ptr<HttpServerTask> callerServer;
-    ImmediateHandler readinessHandler{
+    SimpleHandler readinessHandler{
             [this](const ServerRequest &request) { return readinessResponse(request); }};
-    ImmediateHandler announcementHandler{
+    SimpleHandler announcementHandler{
             [this](const ServerRequest &request) { return handleAnnouncement(request); }};
-    ImmediateHandler metricsHandler{
+    SimpleHandler metricsHandler{
             [this](const ServerRequest &request) { return metricsResponse(request); }};
     Endpoint upstreamEndpoint;
     ConfigurationVersion acceptedVersion;
@@ -156,6 +161,15 @@
     callbacks.status = [this](NodeStatus status) { gossip->post(std::move(status)); };
     callbacks.poisonEvents
             = [this](PoisonEventsArrived poisonEvents) { gossip->post(std::move(poisonEvents)); };
+    callbacks.acknowledge = [this](RequestId request) {
+        announcementHandler.server->post(adapter.announcements->acknowledge(request));
+    };
+    callbacks.storeDeparture = [this](const UpstreamDeparture &departure) {
+        if (store)
+            store->post(StoreDeparture{toJsonText(departure)});
+        else
+            proxy->post(DepartureStored{});
+    };
     callbacks.log = &log;
     return callbacks;
 }
@@ -174,6 +188,9 @@
     };
     callbacks.poisonEvents
             = [this](PoisonEventsArrived poisonEvents) { proxy->post(std::move(poisonEvents)); };
+    callbacks.departure = [this](const UpstreamDeparture &departure) {
+        proxy->post(DepartureReported{departure});
+    };
     callbacks.nodeExpired = [this](const InstanceId &instance) {
         if (store)
             store->post(DeregisterNode{instance.value()});
@@ -193,6 +210,10 @@
             seeds.addresses.push_back(row.value);
         gossip->post(std::move(seeds));
     };
+    callbacks.departureRead = [this](const std::string &text) {
+        proxy->post(DepartureRead{parseDeparture(text)});
+    };
+    callbacks.departureStored = [this] { proxy->post(DepartureStored{}); };
     callbacks.reachable = [this](bool isReachable) {
         log.write(LogCategory::Process, isReachable ? "store-reached" : "store-lost",
                   {{"revision", static_cast<std::int64_t>(acceptedVersion.revision.value())}},
@@ -268,12 +289,13 @@
     return response;
 }
 
-ServerResponse ServiceNode::Private::handleAnnouncement(const ServerRequest &request)
+std::optional<ServerResponse>
+ServiceNode::Private::handleAnnouncement(const ServerRequest &request)
 {
     const Result<UpstreamAnnouncement> announcement = adapter.announcements->read(request);
     if (announcement) {
-        proxy->post(AnnouncementArrived{announcement.value()});
-        return adapter.announcements->acknowledge(request.id);
+        proxy->post(AnnouncementArrived{request.id, announcement.value()});
+        return std::nullopt; // The task acknowledges it.
     }
     ServerResponse response;
     response.id = request.id;
--- a/src/proxy/tests/test_proxy_task.cpp
+++ b/src/proxy/tests/test_proxy_task.cpp
@@ -82,6 +82,10 @@
         callbacks.probeUpstream = [] {};
         callbacks.status = [](const NodeStatus &) {};
         callbacks.poisonEvents = [](const PoisonEventsArrived &) {};
+        callbacks.acknowledge = [this](RequestId request) { acknowledged.push_back(request); };
+        callbacks.storeDeparture = [this](const UpstreamDeparture &departure) {
+            departuresToStore.push_back(departure);
+        };
         callbacks.log = &log;
         task = std::make_unique<ProxyTask>(&loop, settings, adapter, callbacks);
         task->post(ConfigurationChanged{makeConfiguration()});
@@ -89,7 +93,7 @@
         announcement.id = "i-1";
         announcement.service = service;
         announcement.slots = Slots{slots};
-        task->post(AnnouncementArrived{announcement});
+        task->post(AnnouncementArrived{RequestId{1}, announcement});
     }
 
     void receiveRun(Duration timeLeft, RequestId id = RequestId{1})
@@ -110,6 +114,8 @@
     std::vector<Answer> answers;
     std::vector<StartJob> jobs;
     std::vector<ServerResponse> responses; ///< to the callers beside the node
+    std::vector<RequestId> acknowledged;   ///< announcements
+    std::vector<UpstreamDeparture> departuresToStore;
 };
 
 } // namespace
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -38,6 +38,7 @@
     , m_responseMemory(std::make_shared<ResponseMemory>(maxResponseMemory))
     , m_random(seed)
     , m_callbacks(std::move(callbacks))
+    , m_isBootstrap(isBootstrap)
     , m_readSchedule(seed)
 {
     m_calls[ReadConfiguration].isScheduled = true;
@@ -89,6 +90,7 @@
 {
     m_self = std::move(message);
     m_calls[WriteOwnRow].isScheduled = true;
+    m_calls[ReadDeparture].isScheduled = !m_isBootstrap;
     wakeBy(now);
 }
 
@@ -107,6 +109,17 @@
     wakeBy(now);
 }
 
+void StoreTask::on(StoreDeparture &&message, TimePoint now)
+{
+    m_departure = std::move(message.text);
+    CallState &call = m_calls[WriteDeparture];
+    if (call.isRunning)
+        endCall(&call); // It stores an earlier departure.
+    call.isScheduled = true;
+    call.nextStart = now;
+    wakeBy(now);
+}
+
 void StoreTask::on(FleetChanged &&message, TimePoint now)
 {
     const bool hadPeers = m_readSchedule.otherNodes() > 0;
@@ -141,7 +154,11 @@
         return m_isDeregistering ? m_codec->removeNode(m_self->key)
                                  : m_codec->putNode(m_self->key, m_self->value);
     case RemoveRows:
-        return m_codec->removeNode(m_keysToRemove.front());
+        return m_codec->removeExpiredNode(m_keysToRemove.front());
+    case ReadDeparture:
+        return m_codec->readDeparture(m_self->key);
+    case WriteDeparture:
+        return m_codec->putDeparture(m_self->key, m_departure);
     case ListNodes:
     case CallKindCount:
         break;
@@ -220,6 +237,8 @@
         endCall(&row);
     row.isScheduled = m_self.has_value();
     row.nextStart = now;
+    if (!m_departure.empty() && noticedBy != WriteDeparture)
+        on(StoreDeparture{m_departure}, now);
 }
 
 void StoreTask::finishCall(CallKind kind, const StoreResponse &response, TimePoint now)
@@ -269,6 +288,14 @@
         m_keysToRemove.pop_front();
         call.isScheduled = !m_keysToRemove.empty();
         break;
+    case ReadDeparture:
+        call.isScheduled = false;
+        publishDeparture(response);
+        break;
+    case WriteDeparture:
+        call.isScheduled = false;
+        m_callbacks.departureStored();
+        break;
     case ListNodes:
         recordListing(response, now);
         break;
@@ -302,6 +329,17 @@
     m_callbacks.nodes(response.rows);
 }
 
+void StoreTask::publishDeparture(const StoreResponse &response)
+{
+    const auto own
+            = std::find_if(response.rows.begin(), response.rows.end(), [this](const StoredRow &row) {
+                  return !row.isDeleted && m_codec->isDeparture(row, m_self->key);
+              });
+    if (own != response.rows.end() && m_departure.empty())
+        m_departure = own->value;
+    m_callbacks.departureRead(own == response.rows.end() ? std::string() : own->value);
+}
+
 void StoreTask::updateReachable(bool isReachable)
 {
     if (m_isReachable == isReachable)
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -32,6 +32,12 @@
     std::string key;
 };
 
+/// Asks the task to store \a text, the departure of the upstream beside this node.
+struct StoreDeparture
+{
+    std::string text;
+};
+
 /// What this node knows of the fleet has changed.
 struct FleetChanged
 {
@@ -43,8 +49,8 @@
 struct ConfigurationKnown
 {};
 
-using StoreMessage = std::variant<RegisterSelf, DeregisterSelf, DeregisterNode, FleetChanged,
-                                  ConfigurationKnown>;
+using StoreMessage = std::variant<RegisterSelf, DeregisterSelf, DeregisterNode, StoreDeparture,
+                                  FleetChanged, ConfigurationKnown>;
 
 /// Called by the task with what it has read.
 struct StoreCallbacks
@@ -53,13 +59,17 @@
     std::function<void(const std::string &, StoreEra)> configuration;
     std::function<void(std::vector<StoredRow>)> nodes; ///< rows of all nodes
     std::function<void(bool)> reachable;               ///< called when reachability has changed
+    /// Text of the departure that an earlier start of this node has stored; empty if none has.
+    std::function<void(const std::string &)> departureRead;
+    std::function<void()> departureStored; ///< the departure given last is stored
 };
 
 class StoreTask : public LoopTask<StoreMessage>
 {
 public:
     /// With \a isBootstrap the whole fleet is starting and no node has stored its row yet, so the
-    /// first listing and the first read of the configuration are delayed.
+    /// first listing and the first read of the configuration are delayed, and no earlier start of
+    /// this node can have stored a departure.
     StoreTask(EventLoop *loop, const Endpoint &store, std::shared_ptr<const StoreCodec> codec,
               bool isBootstrap, std::uint64_t seed, StoreCallbacks callbacks);
     ~StoreTask() override;
@@ -87,12 +97,15 @@
         WriteOwnRow,
         ListNodes,
         RemoveRows,
+        ReadDeparture,
+        WriteDeparture,
         CallKindCount
     };
 
     void on(RegisterSelf &&message, TimePoint now);
     void on(DeregisterSelf &&message, TimePoint now);
     void on(DeregisterNode &&message, TimePoint now);
+    void on(StoreDeparture &&message, TimePoint now);
     void on(FleetChanged &&message, TimePoint now);
     void on(ConfigurationKnown &&message, TimePoint now);
 
@@ -109,6 +122,7 @@
     ClientRequest makeRequest(CallKind kind) const;
     void publishConfiguration(const StoreResponse &response);
     void recordListing(const StoreResponse &response, TimePoint now);
+    void publishDeparture(const StoreResponse &response);
     void updateReachable(bool isReachable);
 
     Endpoint m_store;
@@ -119,9 +133,11 @@
     CallState m_calls[CallKindCount];
     std::optional<StoreEra> m_era;    ///< newest that a response has named
     std::uint64_t m_storeVersion = 0; ///< up to which changes of the configuration were read
+    bool m_isBootstrap;
     bool m_hasRead = false;           ///< m_storeVersion is set: further calls may wait for changes
     bool m_isWatching = false; ///< the call in progress waits for a change of the configuration
     std::optional<RegisterSelf> m_self;
+    std::string m_departure; ///< text to store; empty if there is none
     std::deque<std::string> m_keysToRemove;
     bool m_isDeregistering = false;
     ReadSchedule m_readSchedule;
--- a/src/store/tests/test_store.cpp
+++ b/src/store/tests/test_store.cpp
@@ -26,6 +26,19 @@
     {
         return {"POST", "/remove", {}, {}, {}};
     }
+    ClientRequest removeExpiredNode(const std::string &) const override
+    {
+        return {"POST", "/remove-expired", {}, {}, {}};
+    }
+    ClientRequest putDeparture(const std::string &, const std::string &) const override
+    {
+        return {"POST", "/put-departure", {}, {}, {}};
+    }
+    ClientRequest readDeparture(const std::string &) const override
+    {
+        return {"GET", "/departure", {}, {}, {}};
+    }
+    bool isDeparture(const StoredRow &, const std::string &) const override { return false; }
     ClientRequest listNodes() const override { return {"GET", "/nodes", {}, {}, {}}; }
     StoreResponse read(const ClientResponse &) const override { return {}; }
     bool isConfiguration(const StoredRow &) const override { return false; }
@@ -49,6 +62,8 @@
     StoreCallbacks callbacks;
     callbacks.configuration = [](const std::string &, StoreEra) {};
     callbacks.nodes = [](const std::vector<StoredRow> &) {};
+    callbacks.departureRead = [](const std::string &) {};
+    callbacks.departureStored = [] {};
     callbacks.reachable = [&reachable](bool isReachable) { reachable.push_back(isReachable); };
     StoreTask store(&loop, {"127.0.0.1", server.port()}, std::make_shared<TestCodec>(), false, 1,
                     callbacks);
--- a/tests/integration/platform_nodes.py
+++ b/tests/integration/platform_nodes.py
@@ -82,6 +82,7 @@
             for zone in ("a", "b"):
                 self.start_node(service, zone)
         self.sends_heartbeats = True
+        self.silent = None  # the node whose upstream sends no heartbeats
         self.heartbeat_thread = threading.Thread(target=self.send_heartbeats, daemon=True)
         self.heartbeat_thread.start()
         self.request_count = 0
@@ -112,6 +113,8 @@
     def send_heartbeats(self):
         while self.sends_heartbeats:
             for node in self.nodes:
+                if node is self.silent:
+                    continue
                 try:
                     node.upstream.send_heartbeat()
                 except OSError:
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -273,16 +273,19 @@
     def record_end(self, request_id, past_deadline_s):
         """Is called at the end of each execution, before its response."""
 
-    def send_heartbeat(self):
-        """Sends a heartbeat to the node. Returns the HTTP status of its response."""
+    def heartbeat_body(self):
+        """Builds the next heartbeat."""
         self.sequence += 1
-        body = {
+        return {
             "born": self.born,
             "Address": self.address,
             "Info": {"Service": self.service, "Version": "v1", "Zone": "z", "Slots": 8},
             "Status": {"State": self.state, "Sequence": self.sequence, "WarmupLeftMs": 0},
         }
-        return self.call("instances.heartbeat", body)
+
+    def send_heartbeat(self):
+        """Sends a heartbeat to the node. Returns the HTTP status of its response."""
+        return self.call("instances.heartbeat", self.heartbeat_body())
 
     def call(self, name, body):
         request = urllib.request.Request(
