Find silent connections within a second and replace what may be silent too

Cause: an open connection was taken for a working one. A watch of the configuration ended by its own timeout only; TCP keep-alive took 4 s at least, since TCP_USER_TIMEOUT overrides the number of probes; streams that carry gossip alone were never pinged; checks reused a kept connection. Ruled out: a loss of gossip alone (no reader had the version either). Change: gossip carries a ping, the quietest stream is pinged each second, silence of 0.8 s ends a stream on which no attempt waits. A new stream that opens at once shows that the connection, not the peer, was silent: older connections to the store, peers and the upstream are then checked or replaced. Extra checks of nodes that are no readers are spread over 20 ms a node of the fleet.

--- a/src/http1/socket.cpp
+++ b/src/http1/socket.cpp
@@ -19,14 +19,16 @@
 void setTcpKeepAlive(boost::asio::ip::tcp::socket *socket)
 {
     using boost::asio::detail::socket_option::integer;
-    constexpr int idleSeconds = 2;
+    using UserTimeout = integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    constexpr int idleSeconds = 1;
     constexpr int intervalSeconds = 1;
-    constexpr int maxUnansweredProbes = 2;
+    constexpr int maxUnansweredProbes = 1;
     boost::system::error_code ignored;
     socket->set_option(boost::asio::socket_base::keep_alive(true), ignored);
     socket->set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(idleSeconds), ignored);
     socket->set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(intervalSeconds), ignored);
     socket->set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(maxUnansweredProbes), ignored);
+    socket->set_option(UserTimeout(keepAliveUserTimeoutMs), ignored);
 }
 
 ReadState readAvailable(boost::asio::ip::tcp::socket *socket, std::string *in)
--- a/src/http1/socket_p.h
+++ b/src/http1/socket_p.h
@@ -22,7 +22,12 @@
 /// Sets the options that all connections have: non-blocking, no Nagle delay, TCP_USER_TIMEOUT.
 void prepareSocket(boost::asio::ip::tcp::socket *socket);
 
-/// Turns on TCP keep-alive: the first probe after 2 s of silence, then one a second.
+/// TCP_USER_TIMEOUT of connections with keep-alive. It overrides the number of probes (tcp(7)): the
+/// connection breaks at the first probe that is due this long after the peer's last segment.
+constexpr int keepAliveUserTimeoutMs = 2000;
+
+/// Turns on TCP keep-alive: the first probe after a second of silence, then one a second, until
+/// keepAliveUserTimeoutMs has passed.
 void setTcpKeepAlive(boost::asio::ip::tcp::socket *socket);
 
 /// State of a connection after a read: open, ended by the peer (EOF), or broken (the read failed).
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -132,21 +132,68 @@
     }
 }
 
-TimePoint MeshTask::tick(TimePoint now)
+/// Other streams may be silent as well: asks the peers of all that are as old for a sign of life.
+void MeshTask::on(ConnectionsSuspected &&message, TimePoint now)
+{
+    for (const auto &[peer, stream] : m_outgoing) {
+        if (stream->lastReceived() < message.silentSince)
+            stream->ping(now);
+    }
+}
+
+void MeshTask::probeQuietestStream(TimePoint now)
+{
+    if (now < m_nextProbe)
+        return;
+    m_nextProbe = now + m_settings.probeInterval;
+    const auto quietest = std::min_element(
+            m_outgoing.begin(), m_outgoing.end(), [](const auto &a, const auto &b) {
+                return a.second->lastReceived() < b.second->lastReceived();
+            });
+    if (quietest != m_outgoing.end())
+        quietest->second->ping(now);
+}
+
+void MeshTask::endSilentStreams(TimePoint now)
 {
     std::vector<std::shared_ptr<MeshStream>> silent;
     for (const auto &[peer, stream] : m_outgoing) {
         if (!stream->keepAlive(m_settings, now))
             silent.push_back(stream);
     }
-    for (const auto &stream : silent)
+    for (const auto &stream : silent) {
+        if (stream->pongDueSince())
+            m_silentEnds.insert_or_assign(stream->peer().instance,
+                                          SilentEnd{*stream->pongDueSince(), now});
         stream->closeAndReport(StreamEnd::Silent);
+    }
+    std::erase_if(m_silentEnds, [this, now](const auto &end) {
+        return now - end.second.endTime > m_settings.connectTimeout;
+    });
+}
+
+TimePoint MeshTask::tick(TimePoint now)
+{
+    probeQuietestStream(now);
+    endSilentStreams(now);
     const bool isHandshakePending
             = std::any_of(m_outgoing.begin(), m_outgoing.end(),
                           [](const auto &item) { return !item.second->wasOpen(); });
     return now + (isHandshakePending ? handshakeCheckInterval : keepAliveCheckInterval);
 }
 
+void MeshTask::onOpened(MeshStream *stream)
+{
+    if (!stream->isOutgoing())
+        return;
+    const auto silent = m_silentEnds.find(stream->peer().instance);
+    if (silent == m_silentEnds.end())
+        return;
+    const SilentEnd end = silent->second;
+    m_silentEnds.erase(silent);
+    m_events->onSilentStreamReplaced(stream->peer().instance, end.silentSince);
+}
+
 void MeshTask::onFrame(MeshStream *stream, Frame frame)
 {
     if (stream->isOutgoing())
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -5,6 +5,7 @@
 #include "link/link.h"
 #include "loop/listener.h"
 #include "loop/loop.h"
+#include "loop/suspicion.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -29,7 +30,7 @@
     Frame frame;
 };
 
-using MeshMessage = std::variant<SendToPeer, SendOnIncomingStream>;
+using MeshMessage = std::variant<SendToPeer, SendOnIncomingStream, ConnectionsSuspected>;
 
 /// Why a stream has ended.
 enum class StreamEnd {
@@ -59,6 +60,9 @@
                                    std::vector<AttemptRef> unanswered)
             = 0;
 
+    /// A stream to \a peer was silent since \a silentSince, and a new one was opened at once.
+    virtual void onSilentStreamReplaced(const InstanceId &peer, TimePoint silentSince) = 0;
+
     /// A frame has arrived on incoming \a stream, which \a from opened.
     virtual void onIncomingFrame(StreamId stream, const PeerRef &from, Frame frame) = 0;
 
@@ -74,13 +78,18 @@
     Duration pingAfter{std::chrono::milliseconds(400)};
     /// Without a frame from the peer while an attempt is unanswered, until the stream is ended.
     Duration silenceTimeout{std::chrono::milliseconds(1600)};
+    /// Without a frame from the peer after a ping, while no attempt is unanswered, until the stream
+    /// is ended. Shorter, since that costs no answer.
+    Duration idleSilenceTimeout{std::chrono::milliseconds(800)};
+    /// Between pings of the outgoing stream from which nothing has arrived for the longest time.
+    Duration probeInterval{std::chrono::seconds(1)};
 };
 
 class MeshStream;
 
-/// The task that owns all streams and the listening socket for other nodes. While an attempt on an
-/// outgoing stream is unanswered and the peer sends nothing, the task pings the peer; if the
-/// silence lasts, it ends the stream.
+/// The task that owns all streams and the listening socket for other nodes. It pings the peer of an
+/// outgoing stream with each gossip message, while an attempt is unanswered and the peer sends
+/// nothing, and now and then; if the silence lasts, it ends the stream.
 class MeshTask : public LoopTask<MeshMessage>
 {
 public:
@@ -110,7 +119,11 @@
     void accept(boost::asio::ip::tcp::socket socket);
     void on(SendToPeer &&message, TimePoint now);
     void on(SendOnIncomingStream &&message, TimePoint now);
+    void on(ConnectionsSuspected &&message, TimePoint now);
+    void probeQuietestStream(TimePoint now);
+    void endSilentStreams(TimePoint now);
     std::shared_ptr<MeshStream> streamTo(const PeerRef &peer);
+    void onOpened(MeshStream *stream);
     void onFrame(MeshStream *stream, Frame frame);
     void onEnded(MeshStream *stream, StreamEnd end);
     void scheduleFlush(const std::shared_ptr<MeshStream> &stream);
@@ -122,6 +135,14 @@
     std::unordered_map<InstanceId, std::shared_ptr<MeshStream>> m_outgoing;
     std::unordered_map<StreamId, std::shared_ptr<MeshStream>> m_incoming;
     std::vector<std::shared_ptr<MeshStream>> m_flushQueue; ///< streams with queued frames
+    /// A stream that has ended because it was silent.
+    struct SilentEnd
+    {
+        TimePoint silentSince;
+        TimePoint endTime;
+    };
+    std::unordered_map<InstanceId, SilentEnd> m_silentEnds; ///< the last one to each peer
+    TimePoint m_nextProbe;
     std::uint64_t m_sentBytes = 0;
 };
 
--- a/src/mesh/stream.cpp
+++ b/src/mesh/stream.cpp
@@ -88,6 +88,17 @@
         m_unanswered.insert({run->request, run->attempt});
     }
     encode(frame, m_queued.add_frames());
+    if (isOutgoing() && std::holds_alternative<Gossip>(frame))
+        ping(monotonicNow()); // Gossip has no answer that shows that it has arrived.
+}
+
+void MeshStream::ping(TimePoint now)
+{
+    if (m_isClosed || !m_wasOpen || m_pongDueSince)
+        return;
+    m_pongDueSince = now;
+    encode(Ping{}, m_queued.add_frames());
+    m_owner->scheduleFlush(shared_from_this());
 }
 
 void MeshStream::flush()
@@ -137,6 +148,7 @@
 {
     const ReadState state = readAvailable(&m_socket, &m_readBuffer);
     m_lastReceived = monotonicNow();
+    m_pongDueSince.reset();
     decodeBatches();
     if (m_isClosed)
         return;
@@ -208,6 +220,7 @@
     m_wasOpen = true;
     m_lastPing = m_lastReceived;
     flush();
+    m_owner->onOpened(this);
 }
 
 bool MeshStream::keepAlive(const MeshSettings &settings, TimePoint now)
@@ -215,12 +228,14 @@
     if (!m_wasOpen)
         return now - m_startTime <= settings.connectTimeout;
     if (m_unanswered.empty())
-        return true;
+        return !m_pongDueSince || now - *m_pongDueSince <= settings.idleSilenceTimeout;
     const TimePoint quietSince = std::max(m_lastReceived, m_unansweredSince);
     if (now - quietSince > settings.silenceTimeout)
         return false;
     if (now - quietSince > settings.pingAfter && now - m_lastPing > settings.pingAfter) {
         m_lastPing = now;
+        if (!m_pongDueSince)
+            m_pongDueSince = now;
         post(Ping{});
         flush();
     }
--- a/src/mesh/stream_p.h
+++ b/src/mesh/stream_p.h
@@ -3,6 +3,7 @@
 #include "link/codec_p.h"
 #include "mesh/mesh.h"
 
+#include <optional>
 #include <set>
 
 namespace buckthornford {
@@ -31,9 +32,12 @@
     /// not arrived yet.
     void flush();
 
+    /// Asks the peer for a pong, unless one is due already.
+    void ping(TimePoint now);
+
     /// Pings the peer if an attempt is unanswered and nothing has arrived for a while. Returns
     /// false if the stream is to be ended: the hello has been missing for too long, or any
-    /// frame while an attempt is unanswered.
+    /// frame after a ping or while an attempt is unanswered.
     bool keepAlive(const MeshSettings &settings, TimePoint now);
 
     /// Closes the socket without telling the owner.
@@ -48,6 +52,10 @@
 
     StreamId id() const { return m_id; }
     const PeerRef &peer() const { return m_peer; }
+    TimePoint lastReceived() const { return m_lastReceived; }
+
+    /// Returns the time of the first ping since which nothing has arrived; nothing if there is none.
+    const std::optional<TimePoint> &pongDueSince() const { return m_pongDueSince; }
 
 private:
     friend class MeshTask;
@@ -71,6 +79,7 @@
     TimePoint m_startTime;
     TimePoint m_lastReceived;
     TimePoint m_lastPing;
+    std::optional<TimePoint> m_pongDueSince; ///< first ping since the last frame from the peer
     TimePoint m_unansweredSince; ///< when m_unanswered last became non-empty
     std::set<AttemptRef> m_unanswered;
     bool m_isConnected = false;
--- a/src/mesh/tests/test_mesh.cpp
+++ b/src/mesh/tests/test_mesh.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE mesh
 #include "mesh/mesh.h"
+#include "mesh/tests/relay.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -15,12 +16,17 @@
         outgoingPeers.push_back(peer);
         outgoingStreamFrames.push_back(std::move(frame));
     }
-    void onPeerStreamEnded(const InstanceId &, StreamEnd, bool wasOpen,
+    void onPeerStreamEnded(const InstanceId &, StreamEnd end, bool wasOpen,
                            std::vector<AttemptRef> unanswered) override
     {
+        outgoingEnds.push_back(end);
         outgoingEndsWasOpen.push_back(wasOpen);
         unansweredAttempts.insert(unansweredAttempts.end(), unanswered.begin(), unanswered.end());
     }
+    void onSilentStreamReplaced(const InstanceId &, TimePoint silentSince) override
+    {
+        replacedSilentStreams.push_back(silentSince);
+    }
     void onIncomingFrame(StreamId stream, const PeerRef &from, Frame frame) override
     {
         lastIncomingStream = stream;
@@ -37,6 +43,8 @@
     std::vector<Frame> incomingStreamFrames;
     StreamId lastIncomingStream;
     int incomingEndCount = 0;
+    std::vector<StreamEnd> outgoingEnds;
+    std::vector<TimePoint> replacedSilentStreams; ///< since when each was silent
 };
 
 /// Nodes a and b on one event loop.
@@ -164,3 +172,58 @@
     BOOST_TEST(pair.eventsA.unansweredAttempts.size() == 1U);
     BOOST_TEST(pair.eventsA.unansweredAttempts.front().request.value() == 1U);
 }
+
+/// Gossip that was sent on a connection that had gone silent was lost without notice, and the
+/// stream stayed in use.
+BOOST_AUTO_TEST_CASE(silentStreamThatCarriesOnlyGossipIsEndedAndItsReplacementReported)
+{
+    MeshPair pair(21323, 21324);
+    SilencingRelay relay(&pair.loop, 21325, 21324);
+    const PeerRef relayedB{pair.b.instance, pair.b.incarnation, "127.0.0.1:21325"};
+    pair.meshA->post(SendToPeer{relayedB, Gossip{}});
+    pair.runUntil([&] { return !pair.eventsB.incomingStreamFrames.empty(); });
+    relay.silence();
+    const TimePoint silenced = monotonicNow();
+    pair.meshA->post(SendToPeer{relayedB, Gossip{}});
+    pair.runUntil([&] { return !pair.eventsA.outgoingEnds.empty(); });
+    BOOST_TEST((pair.eventsA.outgoingEnds.front() == StreamEnd::Silent));
+    BOOST_TEST(pair.eventsA.replacedSilentStreams.empty());
+    pair.meshA->post(SendToPeer{relayedB, Gossip{}});
+    pair.runUntil([&] { return pair.eventsB.incomingStreamFrames.size() == 2; });
+    BOOST_REQUIRE(pair.eventsA.replacedSilentStreams.size() == 1);
+    BOOST_TEST((pair.eventsA.replacedSilentStreams.front() >= silenced));
+}
+
+/// Nothing is sent on the stream, so only a ping shows that it is silent.
+BOOST_AUTO_TEST_CASE(silentStreamIsFoundAlthoughNothingIsSent)
+{
+    MeshPair pair(21326, 21327);
+    SilencingRelay relay(&pair.loop, 21328, 21327);
+    pair.meshA->post(
+            SendToPeer{{pair.b.instance, pair.b.incarnation, "127.0.0.1:21328"}, Gossip{}});
+    pair.runUntil([&] { return !pair.eventsB.incomingStreamFrames.empty(); });
+    relay.silence();
+    pair.runUntil([&] { return !pair.eventsA.outgoingEnds.empty(); });
+    BOOST_TEST((pair.eventsA.outgoingEnds.front() == StreamEnd::Silent));
+}
+
+/// A peer that answers nothing on new connections either is gone, which says nothing about others.
+BOOST_AUTO_TEST_CASE(streamToAPeerThatIsGoneRaisesNoSuspicionOfOtherConnections)
+{
+    MeshPair pair(21329, 21330);
+    pair.meshA->post(SendToPeer{pair.b, Gossip{}});
+    pair.runUntil([&] { return !pair.eventsB.incomingStreamFrames.empty(); });
+    pair.meshB.reset();
+    pair.runUntil([&] { return !pair.eventsA.outgoingEnds.empty(); });
+    pair.meshA->post(SendToPeer{pair.b, Gossip{}});
+    pair.runUntil([&] { return pair.eventsA.outgoingEnds.size() == 2; });
+    BOOST_TEST(pair.eventsA.replacedSilentStreams.empty());
+}
+
+BOOST_AUTO_TEST_CASE(idleStreamToAPeerThatAnswersStaysOpen)
+{
+    MeshPair pair(21331, 21332);
+    pair.meshA->post(SendToPeer{pair.b, Gossip{}});
+    pair.loop.run_for(std::chrono::seconds(4));
+    BOOST_TEST(pair.eventsA.outgoingEnds.empty());
+}
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -62,6 +62,7 @@
     void onPeerFrame(const PeerRef &peer, Frame frame) override;
     void onPeerStreamEnded(const InstanceId &peer, StreamEnd end, bool wasOpen,
                            std::vector<AttemptRef> unanswered) override;
+    void onSilentStreamReplaced(const InstanceId &peer, TimePoint silentSince) override;
     void onIncomingFrame(StreamId stream, const PeerRef &from, Frame frame) override;
     void onIncomingStreamEnded(StreamId stream) override
     {
@@ -273,6 +274,18 @@
     gossip->post(GossipStreamEnded{peer, wasOpen});
 }
 
+void ServiceNode::Private::onSilentStreamReplaced(const InstanceId &peer, TimePoint silentSince)
+{
+    const TimePoint now = monotonicNow();
+    if (log.tryAcquire(LogCategory::Problem, now))
+        log.write(LogCategory::Problem, "connections-suspected",
+                  {{"peer", peer.value()}, {"silent_ms", toMilliseconds(now - silentSince)}}, now);
+    mesh->post(ConnectionsSuspected{silentSince});
+    upstream->post(ConnectionsSuspected{silentSince});
+    if (store)
+        store->post(ConnectionsSuspected{silentSince});
+}
+
 void ServiceNode::Private::onIncomingFrame(StreamId stream, const PeerRef &from, Frame frame)
 {
     if (auto *received = std::get_if<Gossip>(&frame))
--- a/src/store/read_schedule.cpp
+++ b/src/store/read_schedule.cpp
@@ -14,6 +14,8 @@
 /// Time between two checks by nodes that are no readers, over the whole fleet.
 constexpr Duration fleetCheckInterval = std::chrono::milliseconds(500);
 constexpr Duration minCheckInterval = std::chrono::seconds(5);
+/// Time between two extra checks, over the whole fleet.
+constexpr Duration fleetExtraCheckInterval = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -34,4 +36,11 @@
     return now + scaled(interval, jitter(m_random));
 }
 
+TimePoint ReadSchedule::nextExtraCheck(TimePoint now)
+{
+    const auto nodeCount = static_cast<Duration::rep>(m_otherNodes) + 1;
+    std::uniform_real_distribution<double> share(0.0, 1.0);
+    return now + scaled(nodeCount * fleetExtraCheckInterval, share(m_random));
+}
+
 } // namespace buckthornford
--- a/src/store/read_schedule.h
+++ b/src/store/read_schedule.h
@@ -44,6 +44,10 @@
     /// Returns when a node that is no reader reads next, after a read that ended at \a now.
     TimePoint nextCheck(TimePoint now);
 
+    /// Returns when a node that is no reader reads once more, since its connections may have gone
+    /// silent. The whole fleet may find that at the same time.
+    TimePoint nextExtraCheck(TimePoint now);
+
 private:
     std::mt19937_64 m_random;
     std::size_t m_otherNodes = 0;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -144,6 +144,30 @@
     m_readSchedule.setConfigurationKnown();
 }
 
+/// Makes the calls again whose connections may be silent, and reads the configuration again: it may
+/// have changed meanwhile.
+void StoreTask::on(ConnectionsSuspected &&message, TimePoint now)
+{
+    const auto isSuspect = [&message](const CallState &call) {
+        return call.connection && call.connectTime < message.silentSince;
+    };
+    CallState &read = m_calls[ReadConfiguration];
+    if (isSuspect(read) || !m_readSchedule.isReader()) {
+        m_hasRead = false;
+        read.nextStart = m_readSchedule.isReader()
+                                 ? now
+                                 : std::min(read.nextStart, m_readSchedule.nextExtraCheck(now));
+    }
+    for (CallState &call : m_calls) {
+        if (!isSuspect(call))
+            continue;
+        if (call.isRunning)
+            call.nextStart = std::min(call.nextStart, now);
+        endCall(&call);
+    }
+    wakeBy(std::min(now, read.nextStart));
+}
+
 ClientRequest StoreTask::makeRequest(CallKind kind) const
 {
     switch (kind) {
@@ -176,9 +200,11 @@
     m_watchTimeout = isWatch ? m_readSchedule.chooseWatchTimeout() : m_watchTimeout;
     call.deadline = now + callTimeout + (isWatch ? m_watchTimeout : Duration{0});
     const std::uint64_t attempt = ++call.attempt;
-    if (!call.connection || !call.connection->isReusable())
+    if (!call.connection || !call.connection->isReusable()) {
         call.connection
                 = std::make_shared<ClientConnection>(&loop(), responseLimits, m_responseMemory);
+        call.connectTime = now;
+    }
     call.connection->enableTcpKeepAlive();
     ++m_callCount;
     call.connection->exchange(m_store, makeRequest(kind),
@@ -277,8 +303,10 @@
     switch (kind) {
     case ReadConfiguration:
         publishConfiguration(response);
-        if (!m_readSchedule.isReader())
+        if (!m_readSchedule.isReader()) {
             call.nextStart = m_readSchedule.nextCheck(now);
+            endCall(&call); // Until then the connection may go silent without notice.
+        }
         break;
     case WriteOwnRow:
         call.isScheduled = !m_isDeregistering;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -4,6 +4,7 @@
 /// row that holds this node's address, through which nodes that know no peer find each other.
 
 #include "http1/http1.h"
+#include "loop/suspicion.h"
 #include "proxy/adapter.h"
 #include "store/read_schedule.h"
 
@@ -50,7 +51,7 @@
 {};
 
 using StoreMessage = std::variant<RegisterSelf, DeregisterSelf, DeregisterNode, StoreDeparture,
-                                  FleetChanged, ConfigurationKnown>;
+                                  FleetChanged, ConfigurationKnown, ConnectionsSuspected>;
 
 /// Called by the task with what it has read.
 struct StoreCallbacks
@@ -90,6 +91,7 @@
         TimePoint deadline;  ///< of the attempt in progress
         Duration backoff{0};
         std::shared_ptr<ClientConnection> connection;
+        TimePoint connectTime; ///< of the connection
         std::uint64_t attempt = 0; ///< number of the newest one; responses to others are ignored
     };
     enum CallKind : std::size_t {
@@ -108,6 +110,7 @@
     void on(StoreDeparture &&message, TimePoint now);
     void on(FleetChanged &&message, TimePoint now);
     void on(ConfigurationKnown &&message, TimePoint now);
+    void on(ConnectionsSuspected &&message, TimePoint now);
 
     void startCall(CallKind kind, TimePoint now);
     void finishCall(CallKind kind, const StoreResponse &response, TimePoint now);
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -182,6 +182,16 @@
     endJob(job.execution, UpstreamResult::End::Cancelled, now);
 }
 
+void UpstreamTask::on(ConnectionsSuspected &&message, TimePoint)
+{
+    std::erase_if(m_idleConnections, [&message](const IdleConnection &idle) {
+        if (idle.idleSince >= message.silentSince)
+            return false;
+        idle.connection->close();
+        return true;
+    });
+}
+
 void UpstreamTask::on(UpstreamChanged &&change, TimePoint)
 {
     if (change.identity == m_identity)
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -6,6 +6,7 @@
 #include "admission_controller/admission_controller.h"
 #include "call/call.h"
 #include "http1/http1.h"
+#include "loop/suspicion.h"
 
 #include <functional>
 #include <map>
@@ -69,7 +70,7 @@
     UpstreamIdentity identity;
 };
 
-using UpstreamMessage = std::variant<StartJob, CancelJob, UpstreamChanged>;
+using UpstreamMessage = std::variant<StartJob, CancelJob, UpstreamChanged, ConnectionsSuspected>;
 
 /// Opens a connection to \a endpoint, closes it, and calls \a onResult with whether it was
 /// accepted. An endpoint that does not respond in time counts as reachable.
@@ -111,6 +112,8 @@
     void on(StartJob &&job, TimePoint now);
     void on(CancelJob &&job, TimePoint now);
     void on(UpstreamChanged &&change, TimePoint now);
+    /// Closes the idle connections that may be silent.
+    void on(ConnectionsSuspected &&message, TimePoint now);
 
     /// Returns the most recently used idle connection that can carry \a request, or a new one if
     /// there is none; closes those that can't be reused. One that has carried an error response to
