--- a/src/departure/tests/test_departure.cpp
+++ b/src/departure/tests/test_departure.cpp
@@ -40,8 +40,8 @@
 
 BOOST_AUTO_TEST_CASE(malformedStoredDeparturesAreNone)
 {
-    for (const char *text : {"", "[]", "{}", "{\"upstream\":\"\",\"start\":1}",
-                             "{\"upstream\":\"i\",\"start\":-1}", "{\"upstream\":1,\"start\":1}",
-                             "{\"upstream\":\"i\"}", "\xff"})
+    for (const char *text :
+         {"", "[]", "{}", "{\"upstream\":\"\",\"start\":1}", "{\"upstream\":\"i\",\"start\":-1}",
+          "{\"upstream\":1,\"start\":1}", "{\"upstream\":\"i\"}", "\xff"})
         BOOST_TEST(!parseDeparture(text).has_value());
 }
--- a/src/loop/suspicion.h
+++ b/src/loop/suspicion.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// What a task tells the others when it has found that a connection went silent while new ones work.
+/// What a task tells the others when it has found that a connection went silent while new ones
+/// work.
 
 #include "core/core.h"
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -331,10 +331,9 @@
 {
     std::vector<std::uint64_t> hashes(bucketCount, 0);
     const auto add = [&hashes](const Member &member) {
-        std::string text = member.peer.instance.value() + '/'
-                           + toHex(member.peer.incarnation.value()) + '/'
-                           + std::to_string(member.version) + '/'
-                           + std::to_string(severity(member));
+        std::string text
+                = member.peer.instance.value() + '/' + toHex(member.peer.incarnation.value()) + '/'
+                  + std::to_string(member.version) + '/' + std::to_string(severity(member));
         if (member.departure)
             text += '/' + std::to_string(member.departure->start.value());
         hashes[bucketOf(member.peer.instance)] ^= checksum(text);
--- a/src/mesh/stream_p.h
+++ b/src/mesh/stream_p.h
@@ -54,7 +54,8 @@
     const PeerRef &peer() const { return m_peer; }
     TimePoint lastReceived() const { return m_lastReceived; }
 
-    /// Returns the time of the first ping since which nothing has arrived; nothing if there is none.
+    /// Returns the time of the first ping since which nothing has arrived; nothing if there is
+    /// none.
     const std::optional<TimePoint> &pongDueSince() const { return m_pongDueSince; }
 
 private:
@@ -80,7 +81,7 @@
     TimePoint m_lastReceived;
     TimePoint m_lastPing;
     std::optional<TimePoint> m_pongDueSince; ///< first ping since the last frame from the peer
-    TimePoint m_unansweredSince; ///< when m_unanswered last became non-empty
+    TimePoint m_unansweredSince;             ///< when m_unanswered last became non-empty
     std::set<AttemptRef> m_unanswered;
     bool m_isConnected = false;
     bool m_wasOpen = false; ///< the peer's hello has arrived
--- a/src/proxy/proxy_departure.cpp
+++ b/src/proxy/proxy_departure.cpp
@@ -2,13 +2,13 @@
 
 #include <utility>
 
-/// The part of ProxyTask that remembers which upstream has left, beyond the end of this process: the
-/// store and the peers keep the departure, and a node that starts again learns it from them.
+/// The part of ProxyTask that remembers which upstream has left, beyond the end of this process:
+/// the store and the peers keep the departure, and a node that starts again learns it from them.
 
 namespace buckthornford {
 
-/// Takes \a departure over if it is news. An upstream that it covers serves no more. Returns whether
-/// it was news.
+/// Takes \a departure over if it is news. An upstream that it covers serves no more. Returns
+/// whether it was news.
 bool ProxyTask::adoptDeparture(const UpstreamDeparture &departure, TimePoint now)
 {
     if (!isNews(departure, m_departure))
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -128,8 +128,8 @@
         = std::variant<CallArrived, CallerDisconnected, PeerFrameArrived, PeerStreamEnded,
                        IncomingFrameArrived, IncomingStreamEnded, ExecutionEnded, UpstreamProbed,
                        AnnouncementArrived, DepartureRead, DepartureReported, DepartureStored,
-                       MembersChanged, ConfigurationChanged, PoisonEventsArrived,
-                       SettingsChanged, StopRequest>;
+                       MembersChanged, ConfigurationChanged, PoisonEventsArrived, SettingsChanged,
+                       StopRequest>;
 
 /// What a node advertises about itself by gossip.
 struct NodeStatus
@@ -285,7 +285,7 @@
     /// Until when the acknowledgements of a departure wait for the store; not set if none does.
     std::optional<TimePoint> m_departureStoreDeadline;
     std::vector<RequestId> m_heldAcknowledgements; ///< announcements of that departure
-    std::optional<StopSchedule> m_stop;             ///< set once the process was told to stop
+    std::optional<StopSchedule> m_stop;            ///< set once the process was told to stop
     std::optional<NodeStatus> m_publishedStatus;
     std::unordered_map<ExecutionId, Work> m_runningWork; ///< of the executions in progress
     /// Executions in progress, by the id that the caller gave the request.
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -211,9 +211,8 @@
             seeds.addresses.push_back(row.value);
         gossip->post(std::move(seeds));
     };
-    callbacks.departureRead = [this](const std::string &text) {
-        proxy->post(DepartureRead{parseDeparture(text)});
-    };
+    callbacks.departureRead
+            = [this](const std::string &text) { proxy->post(DepartureRead{parseDeparture(text)}); };
     callbacks.departureStored = [this] { proxy->post(DepartureStored{}); };
     callbacks.reachable = [this](bool isReachable) {
         log.write(LogCategory::Process, isReachable ? "store-reached" : "store-lost",
@@ -302,8 +301,7 @@
     return response;
 }
 
-std::optional<ServerResponse>
-ServiceNode::Private::handleAnnouncement(const ServerRequest &request)
+std::optional<ServerResponse> ServiceNode::Private::handleAnnouncement(const ServerRequest &request)
 {
     const Result<UpstreamAnnouncement> announcement = adapter.announcements->read(request);
     if (announcement) {
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -359,10 +359,10 @@
 
 void StoreTask::publishDeparture(const StoreResponse &response)
 {
-    const auto own
-            = std::find_if(response.rows.begin(), response.rows.end(), [this](const StoredRow &row) {
-                  return !row.isDeleted && m_codec->isDeparture(row, m_self->key);
-              });
+    const auto own = std::find_if(
+            response.rows.begin(), response.rows.end(), [this](const StoredRow &row) {
+                return !row.isDeleted && m_codec->isDeparture(row, m_self->key);
+            });
     if (own != response.rows.end() && m_departure.empty())
         m_departure = own->value;
     m_callbacks.departureRead(own == response.rows.end() ? std::string() : own->value);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -91,7 +91,7 @@
         TimePoint deadline;  ///< of the attempt in progress
         Duration backoff{0};
         std::shared_ptr<ClientConnection> connection;
-        TimePoint connectTime; ///< of the connection
+        TimePoint connectTime;     ///< of the connection
         std::uint64_t attempt = 0; ///< number of the newest one; responses to others are ignored
     };
     enum CallKind : std::size_t {
@@ -137,7 +137,7 @@
     std::optional<StoreEra> m_era;    ///< newest that a response has named
     std::uint64_t m_storeVersion = 0; ///< up to which changes of the configuration were read
     bool m_isBootstrap;
-    bool m_hasRead = false;           ///< m_storeVersion is set: further calls may wait for changes
+    bool m_hasRead = false;    ///< m_storeVersion is set: further calls may wait for changes
     bool m_isWatching = false; ///< the call in progress waits for a change of the configuration
     std::optional<RegisterSelf> m_self;
     std::string m_departure; ///< text to store; empty if there is none
