Let calls go on when the run that made them is cancelled

Cause: the end of an execution cancelled all its open calls; a hedged run that loses is cancelled, though its upstream may work on and needs the answer. Ruled out: the stop itself. Change: the deployed node doesn't cancel them: it notices when an upstream leaves its calls. The soak's upstreams make calls, and a check looks for calls that are broken off around stops.

--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -342,7 +342,8 @@
 ChainResult CallDispatcher::onExecutionEnded(ExecutionId id, TimePoint now, WallTime wall,
                                              DispatchActions *actions)
 {
-    cancelCallsOf(id, now, wall, actions);
+    if (m_settings.policy.cancelsCallsOfEndedExecutions)
+        cancelCallsOf(id, now, wall, actions);
     const auto found = m_executions.find(id);
     if (found == m_executions.end())
         return {};
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -90,6 +90,10 @@
     bool propagatesContext = true;
     /// Refuses calls of callers that the services further down could not finish.
     bool limitsChainStarts = false;
+    /// Cancels the open calls of an execution when it ends. Not needed where a caller that leaves
+    /// is noticed: an upstream that gives its work up leaves the calls for it, and one that works
+    /// on needs their answers.
+    bool cancelsCallsOfEndedExecutions = true;
     double minHedgeDelayShare = 0.0; ///< earliest hedge, as a share of the time to the deadline
     /// Longest delay after which a caller whose call did not run is asked to send it again; 0
     /// leaves the delay to the caller.
@@ -166,8 +170,8 @@
     /// Cancels the open calls of the execution.
     void cancelCallsOf(ExecutionId id, TimePoint now, WallTime wall, DispatchActions *actions);
 
-    /// Ends the execution and cancels its open calls. Returns its remaining retry budget and
-    /// whether one of its calls did not complete.
+    /// Ends the execution and, if the policy says so, cancels its open calls. Returns its remaining
+    /// retry budget and whether one of its calls did not complete.
     ChainResult onExecutionEnded(ExecutionId id, TimePoint now, WallTime wall,
                                  DispatchActions *actions);
 
--- a/src/proxy/node_policy.cpp
+++ b/src/proxy/node_policy.cpp
@@ -40,6 +40,7 @@
     proxy.dispatch.retryRatioPerService = true;
     proxy.dispatch.propagatesContext = false;
     proxy.dispatch.limitsChainStarts = true;
+    proxy.dispatch.cancelsCallsOfEndedExecutions = false;
     proxy.dispatch.minHedgeDelayShare = hedgeDelayShare;
     proxy.dispatch.maxRetryAfter = longestRetryAfter;
     proxy.admission.relaxesDeadlineCheckWhenQueueEmpty = true;
--- a/src/proxy/tests/test_proxy_task.cpp
+++ b/src/proxy/tests/test_proxy_task.cpp
@@ -15,11 +15,16 @@
 constexpr std::uint32_t slots = 8;
 const ServiceName service{"affirmer"};
 
+constexpr std::string_view runRequestId = "request"; ///< that callers give each request
+constexpr std::string_view callTarget = "/call";     ///< of calls that the upstream makes for it
+
 class FakeCallerCodec : public CallerCodec
 {
 public:
-    std::optional<ServerResponse> read(ServerRequest, IncomingCall *call) const override
+    std::optional<ServerResponse> read(ServerRequest request, IncomingCall *call) const override
     {
+        if (request.target == callTarget)
+            call->parentRequestId = runRequestId;
         call->host = "swap";
         call->path = "/affirm/";
         return std::nullopt;
@@ -32,7 +37,7 @@
             response.headers = {{"Retry-After", std::to_string(answer.retryAfter.count())}};
         return response;
     }
-    std::string_view callerRequestId(const HttpHeaders &) const override { return "request"; }
+    std::string_view callerRequestId(const HttpHeaders &) const override { return runRequestId; }
 };
 
 Configuration makeConfiguration()
@@ -66,6 +71,8 @@
         settings.drainPropagationDelay = gracePeriod;
         settings.admission.limiter = LimiterKind::Fixed;
         settings.dispatch.maxRetryAfter = 400ms;
+        settings.dispatch.usesIdempotencyKeys = false;
+        settings.dispatch.cancelsCallsOfEndedExecutions = false;
         Adapter adapter;
         adapter.callers = std::make_shared<FakeCallerCodec>();
         ProxyCallbacks callbacks;
@@ -80,7 +87,7 @@
                 jobs.push_back(*job);
         };
         callbacks.probeUpstream = [] {};
-        callbacks.status = [](const NodeStatus &) {};
+        callbacks.status = [this](const NodeStatus &status) { lastStatus = status; };
         callbacks.poisonEvents = [](const PoisonEventsArrived &) {};
         callbacks.acknowledge = [this](RequestId request) { acknowledged.push_back(request); };
         callbacks.storeDeparture = [this](const UpstreamDeparture &departure) {
@@ -116,6 +123,7 @@
     std::vector<ServerResponse> responses; ///< to the callers beside the node
     std::vector<RequestId> acknowledged;   ///< announcements
     std::vector<UpstreamDeparture> departuresToStore;
+    NodeStatus lastStatus;
 };
 
 } // namespace
@@ -178,3 +186,93 @@
     BOOST_TEST((retryAfter >= 100ms));
     BOOST_TEST((retryAfter <= routeTimeout / 3));
 }
+
+/// Guards against: the calls of a run that was cancelled, as the slower of two hedged ones is, were
+/// answered with an error of the node's own while their targets were at work. The upstream may not
+/// have noticed that its run was cancelled; if it has, it leaves its calls.
+BOOST_FIXTURE_TEST_CASE(aCallOfARunThatWasCancelledIsNotBrokenOff, UpstreamNode)
+{
+    Member self;
+    self.peer = {InstanceId{"node"}, Incarnation{1}, ""};
+    self.state = MemberState::Serving;
+    self.service = service;
+    self.slots = Slots{slots};
+    task->post(MembersChanged{{self}});
+    receiveRun(3s);
+    BOOST_REQUIRE(jobs.size() == 1);
+    ServerRequest call;
+    call.id = RequestId{7};
+    call.target = std::string(callTarget);
+    task->post(CallArrived{call});
+    loop.run_for(50ms);
+    BOOST_REQUIRE(jobs.size() == 2);
+    UpstreamResult cancelled;
+    cancelled.execution = jobs.front().execution;
+    cancelled.end = UpstreamResult::End::Cancelled;
+    task->post(ExecutionEnded{cancelled});
+    loop.run_for(50ms);
+    BOOST_TEST(responses.empty());
+    UpstreamResult answered;
+    answered.execution = jobs.back().execution;
+    answered.status = 200;
+    task->post(ExecutionEnded{answered});
+    loop.run_for(50ms);
+    BOOST_TEST(responses.size() == 1U);
+}
+
+/// Guards against: a heartbeat that arrived late was the first one after a restart of the node and
+/// brought a target back that had left.
+BOOST_FIXTURE_TEST_CASE(aDepartureThatAPeerRemembersTakesTheUpstreamOut, UpstreamNode)
+{
+    UpstreamAnnouncement announcement;
+    announcement.id = "i-2";
+    announcement.start = 500;
+    announcement.service = service;
+    announcement.slots = Slots{slots};
+    task->post(AnnouncementArrived{RequestId{2}, announcement});
+    task->post(DepartureReported{{"i-2", UpstreamStart{500}}});
+    loop.run_for(50ms);
+    BOOST_TEST((lastStatus.state == MemberState::Leaving));
+    BOOST_TEST(departuresToStore.size() == 1U);
+    announcement.sequence = 9;
+    task->post(AnnouncementArrived{RequestId{3}, announcement});
+    loop.run_for(50ms);
+    BOOST_TEST((lastStatus.state == MemberState::Leaving));
+    announcement.start = 501;
+    task->post(AnnouncementArrived{RequestId{4}, announcement});
+    loop.run_for(50ms);
+    BOOST_TEST((lastStatus.state == MemberState::Serving));
+}
+
+BOOST_FIXTURE_TEST_CASE(aDepartureIsAcknowledgedOnceItIsStored, UpstreamNode)
+{
+    UpstreamAnnouncement announcement;
+    announcement.id = "i-1";
+    announcement.start = 500;
+    announcement.state = UpstreamAnnouncement::State::Deregistered;
+    task->start();
+    loop.run_for(50ms);
+    acknowledged.clear();
+    task->post(AnnouncementArrived{RequestId{2}, announcement});
+    loop.run_for(50ms);
+    BOOST_TEST(acknowledged.empty());
+    BOOST_TEST(departuresToStore.size() == 1U);
+    task->post(DepartureStored{});
+    loop.run_for(50ms);
+    BOOST_TEST(acknowledged.size() == 1U);
+}
+
+/// The upstream waits a second for the acknowledgement; the store may be away for longer.
+BOOST_FIXTURE_TEST_CASE(aDepartureIsAcknowledgedInTimeWithoutTheStore, UpstreamNode)
+{
+    UpstreamAnnouncement announcement;
+    announcement.id = "i-1";
+    announcement.start = 500;
+    announcement.state = UpstreamAnnouncement::State::Deregistered;
+    task->start();
+    loop.run_for(50ms);
+    acknowledged.clear();
+    task->post(AnnouncementArrived{RequestId{2}, announcement});
+    loop.run_for(900ms);
+    BOOST_TEST(acknowledged.size() == 1U);
+}
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -247,13 +247,16 @@
                 time_left_s = int(self.headers["X-Deadline-Ms"]) / 1000
                 work_s = upstream.work_s_of(self.path)
                 deadline = time.monotonic() + time_left_s
-                time.sleep(min(work_s, time_left_s))
+                is_called = upstream.make_calls(request_id, self.path, time_left_s)
+                time.sleep(max(0.0, min(work_s, deadline - time.monotonic())))
                 upstream.record_end(request_id, time.monotonic() - deadline)
                 signed = echo + [("X-Server-Signature", "sig-" + request_id),
                                  ("X-Server-Load", "1,0,8,100")]
                 try:
                     if work_s > time_left_s:
                         self.reply(504, b"deadline", signed)
+                    elif not is_called:
+                        self.reply(500, b"a call has failed", signed)
                     else:
                         self.reply(200, b"answer to " + request_id.encode() + upstream.padding,
                                    signed)
@@ -270,6 +273,11 @@
         del path
         return self.work_s
 
+    def make_calls(self, request_id, path, time_left_s):
+        """Makes the calls that the request needs. Returns whether they were served."""
+        del request_id, path, time_left_s
+        return True
+
     def record_end(self, request_id, past_deadline_s):
         """Is called at the end of each execution, before its response."""
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,6 +4,7 @@
 import signal
 
 DRAIN_S = 2.5  # as DrainMs of the settings
+GRACE_S = 6.0  # as GraceS of the settings
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 SERVED_SHARE = 0.95  # of the requests in the calm phase
 LOSS_SLACK_S = 0.2  # within which a process that ends may drop a request that it has not passed on
@@ -14,6 +15,7 @@
         self.requests = {request["id"]: request for request in requests}
         self.runs = {}
         self.late_s = {}  # by request: how long after its deadline the upstream ended the work
+        self.calls = {}  # that upstreams made, by id
         self.leaving_times = {}  # by upstream identity: when its node acknowledged its leaving
         self.deployment = deployment
         for instance in deployment.instances:
@@ -31,6 +33,12 @@
                 self.runs.setdefault(entry["run"], []).append(entry)
             elif "late" in entry:
                 self.late_s[entry["late"]] = entry["s"]
+            elif "call" in entry:
+                self.calls[entry["call"]] = dict(entry, status=None, sent=entry["time"])
+            elif "called" in entry:
+                self.calls[entry["called"]].update(ended=entry["time"], status=entry["status"],
+                                                   signature=entry["signature"],
+                                                   error=entry["error"])
             else:
                 self.leaving_times[entry["identity"]] = entry["time"]
 
@@ -39,7 +47,8 @@
         found = []
         for check in (self.at_most_once, self.true_refusals, self.only_asked, self.whole_answers,
                       self.no_revert, self.no_work_for_leaving, self.planned_stops_cut_nothing,
-                      self.planned_stops_break_off_nothing, self.processes_live,
+                      self.planned_stops_break_off_nothing, self.planned_stops_break_off_no_calls,
+                      self.processes_live,
                       self.calm_requests_are_served):
             found += [f"{check.__name__}: {text}" for text in check()]
         return found
@@ -58,7 +67,8 @@
 
     def only_asked(self):
         for request, runs in self.runs.items():
-            asked = self.requests.get(request)
+            call = self.calls.get(request)
+            asked = dict(call, method="GET", body="") if call else self.requests.get(request)
             for run in runs:
                 if asked is None:
                     yield f"{request} ran, but no caller sent it"
@@ -124,6 +134,23 @@
                     and request["ended"] - request["sent"] < request["limit_s"]:
                 yield f"{self.describe(request)} ran and got the node's own {request['status']}"
 
+    def planned_stops_break_off_no_calls(self):
+        """The same for the calls that upstreams make at a node around its stop."""
+        for name, call in self.calls.items():
+            if call["sent"] < self.deployment.faults_ended or name not in self.runs \
+                    or "ended" not in call or call["signature"] is not None \
+                    or call["ended"] - call["sent"] >= call["limit_s"]:
+                continue
+            for stop in self.deployment.stops:
+                if stop["instance"] == call["instance"].name and stop["role"] == "node" \
+                        and stop["signal"] == signal.SIGTERM \
+                        and stop["time"] < call["ended"] \
+                        and call["sent"] < stop["time"] + GRACE_S + 1.0:
+                    yield (f"call {name} ({call['path']}), sent {call['sent'] - stop['time']:.2f} s "
+                           f"after SIGTERM to {stop['instance']}, ran and ended after "
+                           f"{call['ended'] - call['sent']:.2f} s with the node's own "
+                           f"{call['status']} {call['error']}")
+
     def since_stop_s(self, request):
         """Returns how long before the request its entry node got SIGTERM; None if it got none."""
         times = [stop["time"] for stop in self.deployment.stops
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -82,7 +82,7 @@
             self.identity_count += 1
         command = [sys.executable, str(HERE / "upstream.py"), str(port_of(self.upstream_address)),
                    self.proxied_upstream, f"i-{self.name}-{self.identity_count}", self.service,
-                   self.admin, str(self.ledger)]
+                   self.admin, self.callers, str(self.ledger)]
         self.upstream = self.deployment.start_process(f"{self.name}-upstream", command)
 
     def end(self, role, number, seconds):
@@ -165,6 +165,7 @@
         self.stops = []  # what Instance.end() ended: pid, signal, time and end
         self.lock = threading.Lock()
         self.version = 0
+        self.faults_ended = None  # time since which nothing but planned stops disturbs a node
         self.publish_configuration()
         self.instances = [Instance(i, self) for i in range(instances)]
         links = ",".join(f"{name}={listen}/{target}" for instance in self.instances
@@ -193,6 +194,8 @@
         routes = [(HOST, "/status/", "safe", "tracker", TIMEOUT_MS),
                   (HOST, "/affirm/", "unsafe", "affirmer", TIMEOUT_MS),
                   (HOST, "/long/", "unsafe", "affirmer", LONG_TIMEOUT_MS),
+                  (HOST, "/chain/", "safe", "tracker", LONG_TIMEOUT_MS),
+                  (HOST, "/leaf/", "safe", "affirmer", LONG_TIMEOUT_MS),
                   (HOST, f"/probe-{self.version}/", "safe", "tracker", TIMEOUT_MS)]
         self.store.put_configuration(configuration(self.version, routes, SERVICES))
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,6 +35,8 @@
 LONG_WORK_MS = (200, 1600)
 STOP_LONG_WORK_SHARE = 0.6  # of the requests to a node that stops
 STOP_LONG_WORK_MS = {"/long/x": (4000, 5500), "/status/x": (300, 4000), "/affirm/x": (300, 4000)}
+CHAIN_SHARE = 0.25  # of the requests to a node that stops: their work makes a call
+CHAIN_WORK_MS = (20, 3000)
 EARLY_S = 1.0  # of a series, in which half of its callers begin to send
 LIVE_SENDING_S = 3.0  # of a series, in which they send to nodes that are not stopped
 CONCURRENT_FAULTS = 3
@@ -80,7 +82,7 @@
             request["probe"] = max(1, self.soak.deployment.version - self.random.choice([0, 0, 1]))
             path = f"/probe-{request['probe']}/x"  # The probed route may have been removed.
         request["idempotent"] = not path.startswith(("/affirm/", "/long/"))
-        limit_ms = LONG_TIMEOUT_MS if path.startswith("/long/") else TIMEOUT_MS
+        limit_ms = LONG_TIMEOUT_MS if path.startswith(("/long/", "/chain/")) else TIMEOUT_MS
         request["limit_s"] = limit_ms / 1000
         if not request["idempotent"]:
             request.update(method="POST", body=f"amount={self.count}")
@@ -132,6 +134,7 @@
         self.process = instance.node
         self.paths = [*self.paths, "/long/x", "/long/x"]
         self.long_work = (STOP_LONG_WORK_SHARE, STOP_LONG_WORK_MS)
+        self.chain_random = random.Random(f"chains {soak.seed} {number}")
         self.end = None if is_stopped else now() + LIVE_SENDING_S
         self.wait_s = self.random.uniform(0.0, self.random.choice([EARLY_S, GRACE_S]))
         self.start()
@@ -140,7 +143,11 @@
         self.connect(self.instance)
         time.sleep(self.wait_s)
         while self.process.poll() is None and (self.end is None or now() < self.end):
-            self.send_random_request(self.instance)
+            if self.chain_random.random() < CHAIN_SHARE:
+                work_ms = self.chain_random.randint(*CHAIN_WORK_MS)
+                self.send_request(self.instance, f"/chain/work-{work_ms}")
+            else:
+                self.send_random_request(self.instance)
             time.sleep(self.retry_after_s or self.random.uniform(0.0, 0.3))
 
 
@@ -167,6 +174,7 @@
                 caller.start()
             self.inject_faults(self.options.seconds)
             violations = self.check_recovery(prober)
+            self.deployment.faults_ended = now()
             self.stop_nodes_in_turn()
             violations += self.stop_nodes_in_series(prober)
             self.phase = "calm"
