Refuse requests whose transfer coding isn't chunked alone

Cause: the parser takes such a coding as no framing at all, and nothing refused it (RFC 9112, 6.3). Change: 400 and the end of the connection, as soon as the head is read. A coding before chunked is refused too: it can't be decoded, and the target would get the body in it.

--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -161,6 +161,8 @@
         boost::system::error_code error;
         const std::size_t used = m_parser->put(boost::asio::buffer(m_readBuffer), error);
         m_readBuffer.erase(0, used);
+        if (m_parser->is_header_done() && !hasKnownFraming())
+            error = http::error::bad_transfer_encoding;
         if (error && error != http::error::need_more) {
             respondToParseError(error);
             return;
@@ -174,6 +176,15 @@
         sendContinueIfExpected();
 }
 
+/// Returns whether the length of the request's body is known (RFC 9112, 6.3): what follows the head
+/// could be taken for the next request otherwise. Only the coding "chunked" alone can be decoded.
+bool ServerConnection::hasKnownFraming() const
+{
+    const auto &fields = m_parser->get();
+    const auto coding = fields.find(http::field::transfer_encoding);
+    return coding == fields.end() || boost::beast::iequals(coding->value(), "chunked");
+}
+
 /// Answers "Expect: 100-continue": such a client waits for this response before it sends the body.
 void ServerConnection::sendContinueIfExpected()
 {
--- a/src/http1/server_p.h
+++ b/src/http1/server_p.h
@@ -44,6 +44,7 @@
     void waitForBytes();
     void readBytes();
     void parse();
+    bool hasKnownFraming() const;
     void sendContinueIfExpected();
     void deliverRequest();
     void respondToParseError(const boost::system::error_code &error);
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -156,6 +156,27 @@
     }
 }
 
+/// Guards against: the body of a request whose Transfer-Encoding doesn't end with "chunked" was
+/// taken for the next request and ran.
+BOOST_FIXTURE_TEST_CASE(bodyOfUnknownLengthIsNotTakenForARequest, ServerFixture)
+{
+    const std::string quoted = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (const std::string coding :
+         {"identity", "gzip", "chunked, identity", "gzip, chunked", "xchunked", ""}) {
+        connect();
+        const std::size_t before = events.requests.size();
+        std::string request = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: ";
+        request.append(coding).append("\r\n\r\n").append(quoted);
+        send(request);
+        const std::string text = received();
+        BOOST_TEST_CONTEXT(coding)
+        {
+            BOOST_TEST(events.requests.size() == before);
+            BOOST_TEST(text.find("HTTP/1.1 400") == 0U);
+        }
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(oversizedHeadGets431AndOversizedBodyGets413, ServerFixture)
 {
     HttpServerLimits limits;
