--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -382,6 +382,51 @@
         self.folder.cleanup()
 
 
+class MemoryLimit:
+    """Kills a node that exceeds `MemoryMb`, as the platform does, and starts it again.
+
+    What a process holds is its resident memory; bytes in socket buffers aren't counted."""
+
+    restart_s = 0.5
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.peaks = {}  # MB by node
+        self.killed = []
+        self.is_over = False
+        self.thread = threading.Thread(target=self.watch, daemon=True)
+        self.thread.start()
+
+    def watch(self):
+        page_mb = os.sysconf("SC_PAGE_SIZE") / (1 << 20)
+        while not self.is_over:
+            for machine in self.deployment.machines.values():
+                try:
+                    with open(f"/proc/{machine.process.pid}/statm", encoding="ascii") as file:
+                        held_mb = int(file.read().split()[1]) * page_mb
+                except (OSError, IndexError):
+                    continue
+                self.peaks[machine.name] = max(held_mb, self.peaks.get(machine.name, 0))
+                if held_mb > self.deployment.memory_mb:
+                    self.kill(machine, held_mb)
+            time.sleep(0.005)
+
+    def kill(self, machine, held_mb):
+        machine.process.kill()
+        machine.process.wait()
+        self.killed.append(machine.name)
+        self.deployment.record.write("killed-for-memory", node=machine.name, mb=round(held_mb))
+        time.sleep(self.restart_s)
+        if not self.is_over:
+            machine.start()
+
+    def stop(self):
+        self.is_over = True
+        self.thread.join()
+        for name, peak in self.peaks.items():
+            self.deployment.record.write("memory-peak", node=name, mb=round(peak))
+
+
 class Request:
     """One client attempt on a connection of its own or on a kept one."""
 
