Review case 10: a large upload on an ordinary link breaks off what others have running

Cause: a stream counts as silent after 1.6 s without a frame from the peer, and the ping that would ask for one waits behind the upload on the same stream.

--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -266,6 +266,9 @@
         self.settings.write_text(self.settings_text(), encoding="utf-8")
         self.log = open(pathlib.Path(deployment.folder.name) / f"{name}.log", "wb")
         self.process = None
+        self.link = None
+        if deployment.link_mbps:
+            self.link = Link(ip, (ip, self.ports["peer"]), deployment.link_mbps)
         self.target = Target(self, deployment.record)
 
     def address(self, port):
@@ -290,6 +293,8 @@
     def start(self):
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", ""),
                        "BUCKTHORNFORD_NODE_FILE": str(self.settings)}
+        if self.link:  # Other nodes connect to the link in place of the node's own port.
+            environment["BUCKTHORNFORD_ADVERTISE"] = self.link.address
         self.process = subprocess.Popen([str(PROGRAM)], env=environment, cwd=str(ROOT),
                                         stdout=self.log, stderr=self.log)
         self.deployment.record.write("node-started", node=self.name)
@@ -315,12 +320,15 @@
               "ConvergeMs": 2500, "RevertSlackMs": 250, "SkewMaxMs": 5000, "RetryRatio": 0.2,
               "RetryWindowS": 10, "BudgetSlack": 48, "RecoverS": 15}
 
-    def __init__(self, folder, machines, routes, limits=None, memory_mb=260):
-        """`machines` is a list of (name, zone, service)."""
+    def __init__(self, folder, machines, routes, limits=None, memory_mb=260,
+                 link_mbps=None):
+        """`machines` is a list of (name, zone, service); `link_mbps` is the bandwidth of the links
+        between nodes, as much as the machine has if it isn't set."""
         if not PROGRAM.exists():
             raise CaseCannotRun(f"{PROGRAM} has not been built")
         self.record = Record(folder)
         self.memory_mb = memory_mb
+        self.link_mbps = link_mbps
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         network = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         ips = [f"{network}.{i + 10}" for i in range(len(machines))]
@@ -382,6 +390,47 @@
         self.folder.cleanup()
 
 
+class Link:
+    """Carries connections to one address at a machine's bandwidth, in each direction."""
+
+    chunk = 1 << 16
+
+    def __init__(self, ip, target, megabits):
+        self.target = target
+        self.bytes_per_s = megabits * 1e6 / 8
+        self.server = socket.create_server((ip, 0))
+        self.address = f"{ip}:{self.server.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            near, _ = self.server.accept()
+            try:
+                far = socket.create_connection(self.target)
+            except OSError:
+                near.close()
+                continue
+            for end in (near, far):
+                end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for source, sink in ((near, far), (far, near)):
+                threading.Thread(target=self.carry, args=(source, sink), daemon=True).start()
+
+    def carry(self, source, sink):
+        free_at = time.monotonic()  # when the link has carried all that it was given
+        try:
+            while data := source.recv(self.chunk):
+                free_at = max(free_at, time.monotonic()) + len(data) / self.bytes_per_s
+                time.sleep(max(0.0, free_at - time.monotonic()))
+                sink.sendall(data)
+        except OSError:
+            pass
+        for end in (source, sink):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class MemoryLimit:
     """Kills a node that exceeds `MemoryMb`, as the platform does, and starts it again.
 
