--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -560,10 +560,12 @@
 
 def main(case, folder):
     """Runs `case(folder)`, which returns the violations, and ends with the code of the result."""
+    # A SIGTERM, as of timeout(1), ends the case by an exception, so that it ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         violations = case(folder)
-    except CaseCannotRun as error:
-        print(f"cannot run: {error}")
+    except Exception as error:  # Whatever went wrong, it says nothing about the rule.
+        print(f"cannot run: {error!r}")
         sys.exit(NOT_RUN)
     for text in violations:
         print(f"violation: {text}")
