--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -237,21 +237,27 @@
             self.record.write("run-answer-not-taken", target=self.id, request=request,
                               error=repr(error))
 
+    def next_heartbeat(self):
+        self.sequence += 1
+        return {"born": self.born, "Address": self.machine.address("app"),
+                "Info": {"Service": self.machine.service, "Version": "v1",
+                         "Zone": self.machine.zone, "Slots": 180},
+                "Status": {"State": self.state, "Sequence": self.sequence, "WarmupLeftMs": 0}}
+
+    def send_heartbeat(self):
+        call = urllib.request.Request(
+            f"http://{self.machine.address('admin')}/rpc?call=instances.heartbeat&of={self.id}",
+            json.dumps(self.next_heartbeat()).encode(), {"Content-Type": "application/json"},
+            method="POST")
+        try:
+            with urllib.request.urlopen(call, timeout=1):
+                pass
+        except OSError:
+            pass  # The node is down at this moment.
+
     def beat(self):
         while True:
-            self.sequence += 1
-            body = {"born": self.born, "Address": self.machine.address("app"),
-                    "Info": {"Service": self.machine.service, "Version": "v1",
-                             "Zone": self.machine.zone, "Slots": 180},
-                    "Status": {"State": self.state, "Sequence": self.sequence, "WarmupLeftMs": 0}}
-            call = urllib.request.Request(
-                f"http://{self.machine.address('admin')}/rpc?call=instances.heartbeat&of={self.id}",
-                json.dumps(body).encode(), {"Content-Type": "application/json"}, method="POST")
-            try:
-                with urllib.request.urlopen(call, timeout=1):
-                    pass
-            except OSError:
-                pass  # The node is down at this moment.
+            self.send_heartbeat()
             time.sleep(HEARTBEAT_S)
 
 
@@ -269,7 +275,7 @@
         self.link = None
         if deployment.link_mbps:
             self.link = Link(ip, (ip, self.ports["peer"]), deployment.link_mbps)
-        self.target = Target(self, deployment.record)
+        self.target = deployment.target_class(self, deployment.record)
 
     def address(self, port):
         return f"{self.ip}:{self.ports[port]}"
@@ -321,7 +327,7 @@
               "RetryWindowS": 10, "BudgetSlack": 48, "RecoverS": 15}
 
     def __init__(self, folder, machines, routes, limits=None, memory_mb=260,
-                 link_mbps=None):
+                 link_mbps=None, target_class=Target):
         """`machines` is a list of (name, zone, service); `link_mbps` is the bandwidth of the links
         between nodes, as much as the machine has if it isn't set."""
         if not PROGRAM.exists():
@@ -329,6 +335,7 @@
         self.record = Record(folder)
         self.memory_mb = memory_mb
         self.link_mbps = link_mbps
+        self.target_class = target_class
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         network = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         ips = [f"{network}.{i + 10}" for i in range(len(machines))]
