--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -88,21 +88,36 @@
         self.rows, self.history, self.version = {}, [], 1
         self.changed = threading.Condition()
         self.start = time.monotonic()
+        self.is_silent = False  # calls get no answer, and their connections end
         store = self
 
         class StoreHandler(Handler):
+            def is_lost(self):
+                if not store.is_silent:
+                    return False
+                while store.is_silent:
+                    time.sleep(0.02)
+                self.close_connection = True
+                return True
+
             def do_GET(self):
+                if self.is_lost():
+                    return
                 url = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
                 if url.path == "/rows-get":
                     self.reply_json(200, store.get(query))
                 elif url.path == "/rows-feed":
-                    self.reply_json(200, store.feed(query))
+                    answer = store.feed(query)
+                    if not self.is_lost():
+                        self.reply_json(200, answer)
                 else:
                     self.reply(404)
 
             def do_POST(self):
-                self.reply_json(*store.transact(json.loads(self.body())))
+                call = json.loads(self.body())
+                if not self.is_lost():
+                    self.reply_json(*store.transact(call))
 
         self.server = Server((ip, 0), StoreHandler)
         self.address = f"{ip}:{self.server.server_port}"
