--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -287,9 +287,6 @@
         self.settings.write_text(self.settings_text(), encoding="utf-8")
         self.log = open(pathlib.Path(deployment.folder.name) / f"{name}.log", "wb")
         self.process = None
-        self.link = None
-        if deployment.link_mbps:
-            self.link = Link(ip, (ip, self.ports["peer"]), deployment.link_mbps)
         self.target = deployment.target_class(self, deployment.record)
 
     def address(self, port):
@@ -306,7 +303,7 @@
         lines += ["[Bind]", f'Outbound = "{self.address("outbound")}"',
                   f'Readiness = "{self.address("readiness")}"',
                   f'Admin = "{self.address("admin")}"', "[Limits]",
-                  f"MemoryMb = {d.memory_mb}", "MaxFds = 4100", "[Bounds]"]
+                  "MemoryMb = 260", "MaxFds = 4100", "[Bounds]"]
         lines += [f"{key} = {value}" for key, value in d.bounds.items()]
         lines += ["[Platform]", f'Address = "{d.store.address}"']
         return "\n".join(lines) + "\n"
@@ -314,8 +311,6 @@
     def start(self):
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", ""),
                        "BUCKTHORNFORD_NODE_FILE": str(self.settings)}
-        if self.link:  # Other nodes connect to the link in place of the node's own port.
-            environment["BUCKTHORNFORD_ADVERTISE"] = self.link.address
         self.process = subprocess.Popen([str(PROGRAM)], env=environment, cwd=str(ROOT),
                                         stdout=self.log, stderr=self.log)
         self.deployment.record.write("node-started", node=self.name)
@@ -341,15 +336,11 @@
               "ConvergeMs": 2500, "RevertSlackMs": 250, "SkewMaxMs": 5000, "RetryRatio": 0.2,
               "RetryWindowS": 10, "BudgetSlack": 48, "RecoverS": 15}
 
-    def __init__(self, folder, machines, routes, limits=None, memory_mb=260,
-                 link_mbps=None, target_class=Target):
-        """`machines` is a list of (name, zone, service); `link_mbps` is the bandwidth of the links
-        between nodes, as much as the machine has if it isn't set."""
+    def __init__(self, folder, machines, routes, limits=None, target_class=Target):
+        """`machines` is a list of (name, zone, service)."""
         if not PROGRAM.exists():
             raise CaseCannotRun(f"{PROGRAM} has not been built")
         self.record = Record(folder)
-        self.memory_mb = memory_mb
-        self.link_mbps = link_mbps
         self.target_class = target_class
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         network = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
@@ -412,103 +403,16 @@
         self.folder.cleanup()
 
 
-class Link:
-    """Carries connections to one address at a machine's bandwidth, in each direction."""
-
-    chunk = 1 << 16
-
-    def __init__(self, ip, target, megabits):
-        self.target = target
-        self.bytes_per_s = megabits * 1e6 / 8
-        self.server = socket.create_server((ip, 0))
-        self.address = f"{ip}:{self.server.getsockname()[1]}"
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            near, _ = self.server.accept()
-            try:
-                far = socket.create_connection(self.target)
-            except OSError:
-                near.close()
-                continue
-            for end in (near, far):
-                end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            for source, sink in ((near, far), (far, near)):
-                threading.Thread(target=self.carry, args=(source, sink), daemon=True).start()
-
-    def carry(self, source, sink):
-        free_at = time.monotonic()  # when the link has carried all that it was given
-        try:
-            while data := source.recv(self.chunk):
-                free_at = max(free_at, time.monotonic()) + len(data) / self.bytes_per_s
-                time.sleep(max(0.0, free_at - time.monotonic()))
-                sink.sendall(data)
-        except OSError:
-            pass
-        for end in (source, sink):
-            try:
-                end.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-
-
-class MemoryLimit:
-    """Kills a node that exceeds `MemoryMb`, as the platform does, and starts it again.
-
-    What a process holds is its resident memory; bytes in socket buffers aren't counted."""
-
-    restart_s = 0.5
-
-    def __init__(self, deployment):
-        self.deployment = deployment
-        self.peaks = {}  # MB by node
-        self.killed = []
-        self.is_over = False
-        self.thread = threading.Thread(target=self.watch, daemon=True)
-        self.thread.start()
-
-    def watch(self):
-        page_mb = os.sysconf("SC_PAGE_SIZE") / (1 << 20)
-        while not self.is_over:
-            for machine in self.deployment.machines.values():
-                try:
-                    with open(f"/proc/{machine.process.pid}/statm", encoding="ascii") as file:
-                        held_mb = int(file.read().split()[1]) * page_mb
-                except (OSError, IndexError):
-                    continue
-                self.peaks[machine.name] = max(held_mb, self.peaks.get(machine.name, 0))
-                if held_mb > self.deployment.memory_mb:
-                    self.kill(machine, held_mb)
-            time.sleep(0.005)
-
-    def kill(self, machine, held_mb):
-        machine.process.kill()
-        machine.process.wait()
-        self.killed.append(machine.name)
-        self.deployment.record.write("killed-for-memory", node=machine.name, mb=round(held_mb))
-        time.sleep(self.restart_s)
-        if not self.is_over:
-            machine.start()
-
-    def stop(self):
-        self.is_over = True
-        self.thread.join()
-        for name, peak in self.peaks.items():
-            self.deployment.record.write("memory-peak", node=name, mb=round(peak))
-
-
 class Request:
     """One client attempt on a connection of its own or on a kept one."""
 
     def __init__(self, deployment, machine, path, method="GET", body=b"", deadline_ms=6000,
-                 headers=b"", request=None, connection=None, receive_buffer=None):
+                 headers=b"", request=None, connection=None):
         self.record = deployment.record
         self.machine, self.path, self.method, self.body = machine, path, method, body
         self.deadline_ms, self.headers = deadline_ms, headers
         self.id = request or f"{random.getrandbits(64):016x}"
         self.socket = connection
-        self.receive_buffer = receive_buffer
         self.status = self.signature = None
         self.received = b""
         self.head = None
@@ -518,8 +422,6 @@
 
     def connect(self):
         self.socket = socket.socket()
-        if self.receive_buffer:
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
         self.socket.settimeout(self.deadline_ms / 1000 + 2)
         self.socket.connect((self.machine.ip, self.machine.ports["outbound"]))
 
