--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -43,11 +43,12 @@
         });
     }
 
-    /// Queues \a message. It is handled after the handler that the loop is running now has
-    /// returned.
-    void post(Message message)
+    /// Queues a message that is built from \a content, for a variant one of its alternatives. It is
+    /// handled after the handler that the loop is running now has returned.
+    template <class Content>
+    void post(Content &&content)
     {
-        m_messages.push_back(std::move(message));
+        m_messages.emplace_back(std::forward<Content>(content));
         if (std::exchange(m_isScheduled, true))
             return;
         boost::asio::post(*m_loop, [this, alive = m_alive] {
