Take a field that Beast can't hold for an error of its message

Cause: Boost.Beast reports fields of more than 65,533 bytes by std::length_error, not by an error code; nothing caught it. Ruled out: the head's limit, which trailers of chunked bodies aren't under. Change: parseSome() turns it into header_limit, for both users of Beast's parser. Before: test_http1 red, both new cases end with the exception.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -1,4 +1,5 @@
 #include "http1/http1.h"
+#include "http1/parse_p.h"
 #include "http1/socket_p.h"
 
 #include <boost/asio/connect.hpp>
@@ -236,7 +237,7 @@
         // with the bytes behind the head.
         m_parser->eager(m_parser->is_header_done());
         boost::system::error_code error;
-        const std::size_t used = m_parser->put(boost::asio::buffer(m_readBuffer), error);
+        const std::size_t used = parseSome(m_parser.get(), m_readBuffer, &error);
         m_readBuffer.erase(0, used);
         if (error && error != http::error::need_more) {
             endExchange(ClientResponse::End::Truncated);
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -1,3 +1,4 @@
+#include "http1/parse_p.h"
 #include "http1/server_p.h"
 
 #include <boost/asio/write.hpp>
@@ -159,7 +160,7 @@
             m_parser->body_limit(m_server->m_limits.body.value());
         }
         boost::system::error_code error;
-        const std::size_t used = m_parser->put(boost::asio::buffer(m_readBuffer), error);
+        const std::size_t used = parseSome(m_parser.get(), m_readBuffer, &error);
         m_readBuffer.erase(0, used);
         if (m_parser->is_header_done() && !hasKnownFraming())
             error = http::error::bad_transfer_encoding;
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -190,6 +190,27 @@
     BOOST_TEST(received().find("HTTP/1.1 413") == 0U);
 }
 
+/// Guards against: one client's request with a field that Beast can't hold ended the process.
+BOOST_FIXTURE_TEST_CASE(fieldThatTheParserCannotHoldEndsOnlyItsRequest, ServerFixture)
+{
+    HttpServerLimits limits;
+    limits.header = Bytes{200'000};
+    server->post(limits);
+    const std::string field = "X: " + std::string(70'000, 'x') + "\r\n\r\n";
+    const std::string chunked = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string &request :
+         {"GET /a HTTP/1.1\r\nHost: h\r\n" + field, chunked + "2\r\nhi\r\n0\r\n" + field}) {
+        connect();
+        send(request);
+        runLoop();
+        BOOST_TEST(received().find("HTTP/1.1 431") == 0U);
+        BOOST_TEST(isClosedByServer);
+    }
+    connect();
+    send(plainGet);
+    BOOST_TEST(events.requests.size() == 1U);
+}
+
 /// The body's first bytes look like the end of a head.
 BOOST_FIXTURE_TEST_CASE(oversizedBodyIsNotReadAsAHead, ServerFixture)
 {
@@ -364,6 +385,18 @@
     BOOST_TEST((exchange("nonsense\r\n\r\n", false).end == ClientResponse::End::Truncated));
 }
 
+/// Guards against: one response with a field that Beast can't hold ended the process.
+BOOST_FIXTURE_TEST_CASE(fieldThatTheParserCannotHoldReportsTruncated, ClientFixture)
+{
+    const std::string field = "X: " + std::string(70'000, 'x') + "\r\n\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n";
+    for (const std::string &bytes :
+         {head + field, head + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n" + field}) {
+        BOOST_TEST((exchange(bytes, false).end == ClientResponse::End::Truncated));
+        BOOST_TEST(!connection->isReusable());
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(refusalWithoutAnIdOnAKeptConnectionIsNotTaken, ClientFixture)
 {
     BOOST_TEST(exchangeNext("7", matchingResponse).body == "ok");
