Let a successor that tells no start leave: compare only starts that are told

Back ends saw: a target that deregisters without a body beside a node where another target had left before gets 200 and requests until it exits, without any disruption (DRAIN). Cause: ProxyTask::isNewer() took the missing start for start 0, which every known departure covers. Change: a leaving report without a start isn't compared with the departure's start.

--- a/src/proxy/proxy_upstream.cpp
+++ b/src/proxy/proxy_upstream.cpp
@@ -70,7 +70,8 @@
 {
     const UpstreamStart start{announcement.start.value_or(0)};
     const bool isLeaving = announcement.state != UpstreamAnnouncement::State::Serving;
-    if (m_departure && m_departure->covers(announcement.id, start))
+    const bool tellsStart = announcement.start || !isLeaving;
+    if (tellsStart && m_departure && m_departure->covers(announcement.id, start))
         return isLeaving && m_departure->start == start;
     if (!m_upstream)
         return true;
--- a/src/proxy/tests/test_proxy_task.cpp
+++ b/src/proxy/tests/test_proxy_task.cpp
@@ -276,3 +276,42 @@
     loop.run_for(900ms);
     BOOST_TEST(acknowledged.size() == 1U);
 }
+
+namespace {
+
+UpstreamAnnouncement heartbeat(std::string id, std::uint64_t start, std::uint64_t sequence)
+{
+    UpstreamAnnouncement announcement;
+    announcement.id = std::move(id);
+    announcement.start = start;
+    announcement.sequence = sequence;
+    announcement.service = service;
+    announcement.slots = Slots{slots};
+    return announcement;
+}
+
+/// Some upstreams send a deregistration without a body: it doesn't tell their start.
+UpstreamAnnouncement deregistrationWithoutStart(std::string id)
+{
+    UpstreamAnnouncement announcement;
+    announcement.id = std::move(id);
+    announcement.state = UpstreamAnnouncement::State::Deregistered;
+    return announcement;
+}
+
+} // namespace
+
+/// Guards against: once an upstream beside the node had left, its successors' deregistrations
+/// without a start counted as outdated and had no effect.
+BOOST_FIXTURE_TEST_CASE(aSuccessorThatLeavesWithoutTellingItsStartServesNoMore, UpstreamNode)
+{
+    task->post(DepartureReported{{"i-1", UpstreamStart{500}}});
+    task->post(AnnouncementArrived{RequestId{2}, heartbeat("i-2", 900, 1)});
+    loop.run_for(50ms);
+    BOOST_TEST((lastStatus.state == MemberState::Serving));
+    task->post(AnnouncementArrived{RequestId{3}, deregistrationWithoutStart("i-2")});
+    loop.run_for(50ms);
+    BOOST_TEST((lastStatus.state == MemberState::Leaving));
+    BOOST_REQUIRE(lastStatus.departure.has_value());
+    BOOST_TEST((lastStatus.departure->start == UpstreamStart{900}));
+}
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -295,10 +295,11 @@
         """Sends a heartbeat to the node. Returns the HTTP status of its response."""
         return self.call("instances.heartbeat", self.heartbeat_body())
 
-    def call(self, name, body):
+    def call(self, name, body=None):
+        """Sends a call about itself to the node, without a body if `body` is None."""
+        data = b"" if body is None else json.dumps(body).encode()
         request = urllib.request.Request(
-            f"http://{self.admin}/rpc?call={name}&of={self.identity}", json.dumps(body).encode(),
-            method="POST"
+            f"http://{self.admin}/rpc?call={name}&of={self.identity}", data, method="POST"
         )
         with urllib.request.urlopen(request, timeout=2) as response:
             return response.status
--- a/tests/integration/test_restarted_node.py
+++ b/tests/integration/test_restarted_node.py
@@ -86,6 +86,20 @@
         self.leave("deregister")
         self.check_left_target_is_not_used()
 
+    # Guards against: once a target beside the node had left, its successors' deregistrations
+    # without a start had no effect, without any restart.
+    def test_a_successor_that_leaves_without_telling_its_start_stays_away(self):
+        self.leave("deregister")
+        self.left.upstream.born += 1000
+        self.left.upstream.sequence = 0
+        self.silent = None
+        time.sleep(1)
+        self.silent = self.left
+        time.sleep(0.5)
+        self.late_heartbeat = self.left.upstream.heartbeat_body()
+        self.assertEqual(self.left.upstream.call("instances.deregister"), 200)
+        self.check_left_target_is_not_used()
+
     def test_the_next_start_of_a_target_that_left_is_used(self):
         self.leave("deregister")
         self.restart([self.left])
