Look for the start that leaves among the heartbeats that wait for the store

Cause: heartbeats are held until the store has told what left before; meanwhile a deregistration without a start named an upstream that the node didn't know. Change: startThatLeaves() also looks at the held heartbeats; the departure is stored and told as any.

--- a/src/proxy/proxy_upstream.cpp
+++ b/src/proxy/proxy_upstream.cpp
@@ -101,18 +101,34 @@
     }
     if (announcement.state == UpstreamAnnouncement::State::Draining)
         m_upstream = announcement;
-    const bool isKnown = m_upstream && m_upstream->id == announcement.id;
-    if (!announcement.start && !isKnown) {
+    const std::optional<UpstreamStart> start = startThatLeaves(announcement);
+    if (!start) {
         m_callbacks.acknowledge(message.request); // It can't be told which start has left.
         return;
     }
-    const std::optional<std::uint64_t> start
-            = announcement.start ? announcement.start : m_upstream->start;
-    recordDeparture({announcement.id, UpstreamStart{start.value_or(0)}}, now);
+    recordDeparture({announcement.id, *start}, now);
     startUpstreamDrain(now);
     acknowledgeDeparture(message.request);
 }
 
+/// Returns which start of its upstream \a announcement takes out of service; nothing if it doesn't
+/// tell and this node has not heard of that upstream.
+std::optional<UpstreamStart>
+ProxyTask::startThatLeaves(const UpstreamAnnouncement &announcement) const
+{
+    if (announcement.start)
+        return UpstreamStart{*announcement.start};
+    if (m_upstream && m_upstream->id == announcement.id)
+        return UpstreamStart{m_upstream->start.value_or(0)};
+    std::optional<UpstreamStart> newest;
+    for (const UpstreamAnnouncement &held : m_heldAnnouncements) {
+        const UpstreamStart start{held.start.value_or(0)};
+        if (held.id == announcement.id && (!newest || *newest < start))
+            newest = start;
+    }
+    return newest;
+}
+
 void ProxyTask::useUpstream(const UpstreamAnnouncement &announcement, TimePoint now)
 {
     const bool isSame = m_upstream && m_upstream->id == announcement.id
--- a/src/proxy/tests/test_proxy_task.cpp
+++ b/src/proxy/tests/test_proxy_task.cpp
@@ -64,9 +64,8 @@
 /// stream and answers leave on it.
 struct UpstreamNode
 {
-    UpstreamNode()
+    explicit UpstreamNode(ProxySettings settings = {})
     {
-        ProxySettings settings;
         settings.self = {InstanceId{"node"}, Incarnation{1}, ""};
         settings.drainPropagationDelay = gracePeriod;
         settings.admission.limiter = LimiterKind::Fixed;
@@ -96,6 +95,8 @@
         callbacks.log = &log;
         task = std::make_unique<ProxyTask>(&loop, settings, adapter, callbacks);
         task->post(ConfigurationChanged{makeConfiguration()});
+        if (settings.readsDeparture)
+            return;
         UpstreamAnnouncement announcement;
         announcement.id = "i-1";
         announcement.service = service;
@@ -299,6 +300,33 @@
     return announcement;
 }
 
+/// A node that starts again and waits for the departure that its earlier start has stored.
+struct RestartedNode : UpstreamNode
+{
+    static ProxySettings settings()
+    {
+        ProxySettings settings;
+        settings.readsDeparture = true;
+        settings.departureReadTimeout = 200ms;
+        return settings;
+    }
+
+    RestartedNode()
+        : UpstreamNode(settings())
+    {
+        task->start();
+        loop.run_for(20ms);
+    }
+
+    void receive(UpstreamAnnouncement announcement)
+    {
+        task->post(AnnouncementArrived{RequestId{++requests}, std::move(announcement)});
+        loop.run_for(20ms);
+    }
+
+    std::uint64_t requests = 1;
+};
+
 } // namespace
 
 /// Guards against: once an upstream beside the node had left, its successors' deregistrations
@@ -315,3 +343,16 @@
     BOOST_REQUIRE(lastStatus.departure.has_value());
     BOOST_TEST((lastStatus.departure->start == UpstreamStart{900}));
 }
+
+/// Guards against: a deregistration that arrived while the node waited for the store was
+/// acknowledged and forgotten; the heartbeat before it, which waited, was taken after it.
+BOOST_FIXTURE_TEST_CASE(anUpstreamThatLeavesWhileItsHeartbeatWaitsIsNotUsed, RestartedNode)
+{
+    receive(heartbeat("i-2", 500, 7));
+    receive(deregistrationWithoutStart("i-2"));
+    loop.run_for(300ms);
+    receive(heartbeat("i-2", 500, 6));
+    BOOST_TEST((lastStatus.state != MemberState::Serving));
+    BOOST_REQUIRE(departuresToStore.size() == 1U);
+    BOOST_TEST((departuresToStore.front() == UpstreamDeparture{"i-2", UpstreamStart{500}}));
+}
--- a/tests/integration/test_restarted_node.py
+++ b/tests/integration/test_restarted_node.py
@@ -86,6 +86,21 @@
         self.leave("deregister")
         self.check_left_target_is_not_used()
 
+    # Guards against: the heartbeat that waited for the store was taken after the deregistration.
+    def test_a_target_that_leaves_while_its_heartbeat_waits_for_the_store_stays_away(self):
+        self.silent = self.left
+        self.store.set_fault("silent")
+        self.restart([self.left])
+
+        def is_taken():
+            return self.left.upstream.call("instances.heartbeat", self.late_heartbeat) == 200
+
+        fleet.wait_until(is_taken, 10, "the node to take a heartbeat")
+        self.assertEqual(self.left.upstream.call("instances.deregister"), 200)
+        time.sleep(2)
+        self.store.set_fault(None)
+        self.check_left_target_is_not_used()
+
     # Guards against: once a target beside the node had left, its successors' deregistrations
     # without a start had no effect, without any restart.
     def test_a_successor_that_leaves_without_telling_its_start_stays_away(self):
