Remember the departure of an upstream of which no start is known

Cause: nothing tells which start has left, and ready reports of any start were news. Ruled out: to refuse the call (the target exits anyway), the time of day (clocks step). Change: for 15 s ready reports of that instance are outdated; "a heartbeat may arrive seconds late", and a target that has left sends none any more. Logged as upstream-departure, source unknown-start. What remains: the 15 s are kept in memory only.

--- a/src/proxy/proxy_departure.cpp
+++ b/src/proxy/proxy_departure.cpp
@@ -44,7 +44,7 @@
 void ProxyTask::on(DepartureRead &&message, TimePoint now)
 {
     if (message.departure && adoptDeparture(*message.departure, now))
-        logDeparture("store", now);
+        logDeparture(*m_departure, "store", now);
     endDepartureRead(now);
 }
 
@@ -53,7 +53,7 @@
     const bool isNew = isNews(message.departure, m_departure);
     recordDeparture(message.departure, now);
     if (isNew)
-        logDeparture("peer", now);
+        logDeparture(*m_departure, "peer", now);
 }
 
 void ProxyTask::on(DepartureStored &&, TimePoint)
@@ -67,7 +67,7 @@
 {
     m_departureReadDeadline.reset();
     for (const UpstreamAnnouncement &announcement : std::exchange(m_heldAnnouncements, {})) {
-        if (isNewer(announcement))
+        if (isNewer(announcement, now))
             useUpstream(announcement, now);
         else
             logOutdated(announcement, now);
@@ -80,7 +80,7 @@
     if (m_departureReadDeadline && *m_departureReadDeadline <= now)
         endDepartureRead(now);
     if (m_departureStoreDeadline && *m_departureStoreDeadline <= now) {
-        logDeparture("not-stored", now);
+        logDeparture(*m_departure, "not-stored", now);
         on(DepartureStored{}, now);
     }
 }
--- a/src/proxy/proxy_log.cpp
+++ b/src/proxy/proxy_log.cpp
@@ -63,13 +63,14 @@
             now);
 }
 
-/// Logs a departure that this node did not hear from the upstream itself in this start, or that it
-/// acknowledges without the store.
-void ProxyTask::logDeparture(std::string_view source, TimePoint now)
+/// Logs a departure that this node did not hear from the upstream itself in this start, that it
+/// acknowledges without the store, or of which it knows no start.
+void ProxyTask::logDeparture(const UpstreamDeparture &departure, std::string_view source,
+                             TimePoint now)
 {
     m_callbacks.log->write(LogCategory::Process, "upstream-departure",
-                           {{"upstream", m_departure->upstream},
-                            {"start", static_cast<std::int64_t>(m_departure->start.value())},
+                           {{"upstream", departure.upstream},
+                            {"start", static_cast<std::int64_t>(departure.start.value())},
                             {"source", source}},
                            now);
 }
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -179,9 +179,19 @@
     /// Longest time until a departure is acknowledged that can't be stored. The upstream waits a
     /// second for it.
     Duration departureStoreTimeout{std::chrono::milliseconds(600)};
+    /// From the departure of an upstream of which no start is known until no announcement that it
+    /// sent before can be under way any more.
+    Duration lateAnnouncementLimit{std::chrono::seconds(15)};
     std::uint64_t seed = 1;
 };
 
+/// The departure of an upstream that didn't tell its start.
+struct UnknownStartDeparture
+{
+    std::string upstream; ///< id of the instance
+    TimePoint until;      ///< announcements that arrive earlier may be of the start that has left
+};
+
 class ProxyTask : public LoopTask<ProxyMessage>
 {
 public:
@@ -247,7 +257,7 @@
     void refuseCall(RequestId id, const IncomingCall &call, Error reason, TimePoint now);
     void runLocally(const RunRequest &run, ReplyTo from, TimePoint now);
     void finishExecution(UpstreamResult result, TimePoint now);
-    bool isNewer(const UpstreamAnnouncement &announcement) const;
+    bool isNewer(const UpstreamAnnouncement &announcement, TimePoint now) const;
     std::optional<UpstreamStart> startThatLeaves(const UpstreamAnnouncement &announcement) const;
     void useUpstream(const UpstreamAnnouncement &announcement, TimePoint now);
     void startUpstreamDrain(TimePoint now);
@@ -256,7 +266,7 @@
     void acknowledgeDeparture(RequestId request);
     void endDepartureRead(TimePoint now);
     void doDepartureWork(TimePoint now);
-    void logDeparture(std::string_view source, TimePoint now);
+    void logDeparture(const UpstreamDeparture &departure, std::string_view source, TimePoint now);
     void advanceDrain(TimePoint now);
     void recordCrash(const Work &work, std::uint64_t crash, TimePoint now);
     void recordCompletion(const Work &work, TimePoint now);
@@ -279,6 +289,8 @@
     std::optional<TimePoint> m_upstreamDrainStart;  ///< when the upstream's drain started
     /// Newest departure of an upstream beside this node, in this start of the node or before.
     std::optional<UpstreamDeparture> m_departure;
+    /// The last upstream that has left before this node knew a start of it.
+    std::optional<UnknownStartDeparture> m_unknownStartDeparture;
     /// Until when announcements of serving upstreams wait for the departure stored before; not set
     /// once it is known.
     std::optional<TimePoint> m_departureReadDeadline;
--- a/src/proxy/proxy_upstream.cpp
+++ b/src/proxy/proxy_upstream.cpp
@@ -66,13 +66,17 @@
 /// Returns whether \a announcement is newer than the last one used. Announcements can arrive late:
 /// those of an earlier start, earlier ones of the same start, and those of an upstream that has
 /// left meanwhile are outdated.
-bool ProxyTask::isNewer(const UpstreamAnnouncement &announcement) const
+bool ProxyTask::isNewer(const UpstreamAnnouncement &announcement, TimePoint now) const
 {
     const UpstreamStart start{announcement.start.value_or(0)};
     const bool isLeaving = announcement.state != UpstreamAnnouncement::State::Serving;
     const bool tellsStart = announcement.start || !isLeaving;
     if (tellsStart && m_departure && m_departure->covers(announcement.id, start))
         return isLeaving && m_departure->start == start;
+    if (!isLeaving && m_unknownStartDeparture
+        && m_unknownStartDeparture->upstream == announcement.id
+        && now < m_unknownStartDeparture->until)
+        return false;
     if (!m_upstream)
         return true;
     if (announcement.start && m_upstream->start && *announcement.start != *m_upstream->start)
@@ -86,7 +90,7 @@
 void ProxyTask::on(AnnouncementArrived &&message, TimePoint now)
 {
     const UpstreamAnnouncement &announcement = message.announcement;
-    if (!isNewer(announcement)) {
+    if (!isNewer(announcement, now)) {
         logOutdated(announcement, now);
         m_callbacks.acknowledge(message.request);
         return;
@@ -103,7 +107,9 @@
         m_upstream = announcement;
     const std::optional<UpstreamStart> start = startThatLeaves(announcement);
     if (!start) {
-        m_callbacks.acknowledge(message.request); // It can't be told which start has left.
+        m_unknownStartDeparture = {announcement.id, now + m_settings.lateAnnouncementLimit};
+        logDeparture({announcement.id, UpstreamStart{}}, "unknown-start", now);
+        m_callbacks.acknowledge(message.request);
         return;
     }
     recordDeparture({announcement.id, *start}, now);
--- a/src/proxy/tests/test_proxy_task.cpp
+++ b/src/proxy/tests/test_proxy_task.cpp
@@ -300,7 +300,8 @@
     return announcement;
 }
 
-/// A node that starts again and waits for the departure that its earlier start has stored.
+/// A node that starts again, waits for the departure that its earlier start has stored and then for
+/// late announcements.
 struct RestartedNode : UpstreamNode
 {
     static ProxySettings settings()
@@ -308,6 +309,7 @@
         ProxySettings settings;
         settings.readsDeparture = true;
         settings.departureReadTimeout = 200ms;
+        settings.lateAnnouncementLimit = 300ms;
         return settings;
     }
 
@@ -356,3 +358,31 @@
     BOOST_REQUIRE(departuresToStore.size() == 1U);
     BOOST_TEST((departuresToStore.front() == UpstreamDeparture{"i-2", UpstreamStart{500}}));
 }
+
+/// Guards against: a deregistration that was the first thing a restarted node heard of its upstream
+/// was acknowledged and forgotten; a late heartbeat brought the upstream back.
+BOOST_FIXTURE_TEST_CASE(anUpstreamThatLeavesUnknownIsNotBroughtBackByLateHeartbeats, RestartedNode)
+{
+    receive(deregistrationWithoutStart("i-2"));
+    receive(heartbeat("i-2", 500, 7));
+    loop.run_for(230ms);
+    receive(heartbeat("i-2", 500, 6));
+    BOOST_TEST((lastStatus.state != MemberState::Serving));
+    BOOST_TEST(acknowledged.size() == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(anUpstreamThatLeftUnknownIsUsedOnceItIsBack, RestartedNode)
+{
+    receive(deregistrationWithoutStart("i-2"));
+    loop.run_for(350ms);
+    receive(heartbeat("i-2", 500, 1));
+    BOOST_TEST((lastStatus.state == MemberState::Serving));
+}
+
+BOOST_FIXTURE_TEST_CASE(anotherUpstreamIsUsedBesideOneThatLeftUnknown, RestartedNode)
+{
+    receive(deregistrationWithoutStart("i-2"));
+    receive(heartbeat("i-3", 500, 1));
+    loop.run_for(200ms);
+    BOOST_TEST((lastStatus.state == MemberState::Serving));
+}
--- a/tests/integration/test_restarted_node.py
+++ b/tests/integration/test_restarted_node.py
@@ -86,6 +86,14 @@
         self.leave("deregister")
         self.check_left_target_is_not_used()
 
+    # Guards against: without a start in it, the deregistration was acknowledged and forgotten.
+    def test_a_target_that_leaves_unknown_without_telling_its_start_stays_away(self):
+        self.silent = self.left
+        self.restart([self.left])
+        fleet.wait_until(self.left.is_ready, 10, "readiness")
+        self.assertEqual(self.left.upstream.call("instances.deregister"), 200)
+        self.check_left_target_is_not_used()
+
     # Guards against: the heartbeat that waited for the store was taken after the deregistration.
     def test_a_target_that_leaves_while_its_heartbeat_waits_for_the_store_stays_away(self):
         self.silent = self.left
