--- a/src/link/tests/test_link.cpp
+++ b/src/link/tests/test_link.cpp
@@ -63,6 +63,36 @@
     BOOST_TEST(run.isRepeat);
 }
 
+/// Guards against: one text that isn't UTF-8, from a caller, an upstream or an announcement, made
+/// the whole batch malformed, which ended the stream with all that ran on it.
+BOOST_AUTO_TEST_CASE(textOfAnyBytesSurvivesEncodingAndDecoding)
+{
+    const std::string latin1 = "Caf\xe9";
+    RunRequest run = makeRun();
+    run.work.method = latin1;
+    run.work.query = latin1;
+    run.work.key = latin1;
+    run.work.contentType = latin1;
+    run.work.target = latin1;
+    run.work.headers = {{latin1, latin1}};
+    Answer answer;
+    answer.contentType = latin1;
+    answer.headers = {{"X", latin1}};
+    Gossip gossip;
+    gossip.members = {Member{}};
+    gossip.members[0].peer.instance = InstanceId{"m"};
+    gossip.members[0].departure = UpstreamDeparture{latin1, UpstreamStart{5}};
+    const auto frames = decodeBatch(encodeBatch({run, answer, gossip}));
+    BOOST_REQUIRE(frames);
+    BOOST_REQUIRE(frames.value().size() == 3);
+    const Work &work = std::get<RunRequest>(frames.value()[0]).work;
+    BOOST_TEST((work.headers == run.work.headers));
+    BOOST_TEST(work.target == latin1);
+    BOOST_TEST((std::get<Answer>(frames.value()[1]).headers == answer.headers));
+    const Gossip &read = std::get<Gossip>(frames.value()[2]);
+    BOOST_TEST((read.members[0].departure == gossip.members[0].departure));
+}
+
 /// Changes one byte of a batch and cuts off up to two. A request with a wrong body must not reach
 /// an upstream: the run decodes with the body that was sent, with an empty one, or not at all.
 BOOST_AUTO_TEST_CASE(damagedBytesNeverDecodeToAnotherBody)
