Let clients and upstreams pause reading

Cause: TCP_USER_TIMEOUT of 4 s on every connection; on Linux it also ends one whose peer is alive and has a full receive window for so long. Change: only streams between nodes set it. A client that takes nothing of its response for the idle timeout is closed; requests to upstreams end at their deadline, as before. Before: test_http1 clientThatPausesReadingGetsItsWholeResponse red (128,512 of 16 MB, reset), clientThatReadsNothingForTheIdleTimeoutIsClosed red (still open).

--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -50,7 +50,8 @@
     Bytes header{16384}; ///< request line and header fields together
     Bytes body{64U << 20U};
     Duration headerTimeout{std::chrono::seconds(10)}; ///< from a request's first byte to its last
-    Duration idleTimeout{std::chrono::seconds(60)};   ///< on a connection between two requests
+    /// On a connection between two requests, and while a client reads nothing of its response.
+    Duration idleTimeout{std::chrono::seconds(60)};
 };
 
 /// Makes the server close each connection after its next response. Requests that arrive until then
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -243,7 +243,15 @@
     const bool hasBody = !m_isHeadRequest && response.status != 204 && response.status != 304;
     if (hasBody)
         m_writeBuffer += response.body;
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_writeBuffer),
+    m_timeoutStart = monotonicNow();
+    const auto countProgress = [self = shared_from_this(),
+                                last = std::size_t{0}](const boost::system::error_code &error,
+                                                       std::size_t written) mutable -> std::size_t {
+        if (written > std::exchange(last, written))
+            self->m_timeoutStart = monotonicNow();
+        return boost::asio::transfer_all()(error, written);
+    };
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_writeBuffer), countProgress,
                              [self = shared_from_this()](const boost::system::error_code &error,
                                                          std::size_t) { self->onWritten(!error); });
 }
@@ -297,6 +305,7 @@
     case State::Lingering:
         return now - m_timeoutStart > lingerTimeout;
     case State::Writing:
+        return now - m_timeoutStart > limits.idleTimeout;
     case State::AwaitingResponse:
     case State::Closed:
         return false;
--- a/src/http1/socket.cpp
+++ b/src/http1/socket.cpp
@@ -6,20 +6,29 @@
 
 namespace buckthornford {
 
+namespace {
+
+using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+} // namespace
+
 void prepareSocket(boost::asio::ip::tcp::socket *socket)
 {
-    using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     // Errors are ignored: on a socket that has broken meanwhile, the next read or write fails too.
     boost::system::error_code ignored;
     socket->non_blocking(true, ignored);
     socket->set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+}
+
+void setTcpUserTimeout(boost::asio::ip::tcp::socket *socket)
+{
+    boost::system::error_code ignored;
     socket->set_option(UserTimeout(tcpUserTimeoutMs), ignored);
 }
 
 void setTcpKeepAlive(boost::asio::ip::tcp::socket *socket)
 {
     using boost::asio::detail::socket_option::integer;
-    using UserTimeout = integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     constexpr int idleSeconds = 1;
     constexpr int intervalSeconds = 1;
     constexpr int maxUnansweredProbes = 1;
--- a/src/http1/socket_p.h
+++ b/src/http1/socket_p.h
@@ -7,10 +7,6 @@
 
 namespace buckthornford {
 
-/// TCP_USER_TIMEOUT in milliseconds: the connection breaks when sent bytes stay unacknowledged for
-/// this long.
-constexpr int tcpUserTimeoutMs = 4000;
-
 /// The buffer that every read fills first. All connections share it, so that idle ones hold no
 /// memory for reading; only the event loop's thread may use it.
 inline std::array<char, 65536> &sharedReadBuffer()
@@ -19,9 +15,17 @@
     return buffer;
 }
 
-/// Sets the options that all connections have: non-blocking, no Nagle delay, TCP_USER_TIMEOUT.
+/// Sets the options that all connections have: non-blocking, no Nagle delay.
 void prepareSocket(boost::asio::ip::tcp::socket *socket);
 
+/// TCP_USER_TIMEOUT of connections between nodes.
+constexpr int tcpUserTimeoutMs = 4000;
+
+/// Sets TCP_USER_TIMEOUT: the connection breaks when sent bytes stay unacknowledged for
+/// tcpUserTimeoutMs, and also when the peer is alive but reads nothing for so long. Callers and
+/// upstreams may do that.
+void setTcpUserTimeout(boost::asio::ip::tcp::socket *socket);
+
 /// TCP_USER_TIMEOUT of connections with keep-alive. It overrides the number of probes (tcp(7)): the
 /// connection breaks at the first probe that is due this long after the peer's last segment.
 constexpr int keepAliveUserTimeoutMs = 2000;
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -233,6 +233,67 @@
     BOOST_TEST(isClosedByServer);
 }
 
+namespace {
+
+/// A client whose buffers are full: it reads nothing of a response that is larger.
+struct PausingClientFixture : ServerFixture
+{
+    PausingClientFixture()
+    {
+        send(plainGet);
+        respond(std::string(responseSize, 'x'));
+    }
+
+    std::size_t receivedBytes()
+    {
+        std::size_t count = received().size();
+        for (std::size_t more = 1; more > 0; count += more) {
+            runLoop();
+            more = received().size();
+        }
+        return count;
+    }
+
+    static constexpr std::size_t responseSize = 16U << 20U;
+};
+
+} // namespace
+
+/// Guards against: TCP_USER_TIMEOUT ended the connection of a client that read nothing for four
+/// seconds although it was alive.
+BOOST_FIXTURE_TEST_CASE(clientThatPausesReadingGetsItsWholeResponse, PausingClientFixture)
+{
+    loop.run_for(std::chrono::milliseconds(5500));
+    BOOST_TEST(receivedBytes() > responseSize);
+    BOOST_TEST(!isClosedByServer);
+}
+
+BOOST_FIXTURE_TEST_CASE(clientThatReadsNothingForTheIdleTimeoutIsClosed, PausingClientFixture)
+{
+    HttpServerLimits limits;
+    limits.idleTimeout = std::chrono::milliseconds(300);
+    server->post(limits);
+    loop.run_for(std::chrono::milliseconds(900));
+    BOOST_TEST(server->connectionCount() == 0U);
+}
+
+/// The timeout counts from the last progress, not from the start of the response.
+BOOST_FIXTURE_TEST_CASE(clientThatReadsSlowlyGetsItsWholeResponse, PausingClientFixture)
+{
+    HttpServerLimits limits;
+    limits.idleTimeout = std::chrono::milliseconds(600);
+    server->post(limits);
+    std::size_t count = 0;
+    std::vector<char> chunk(2U << 20U);
+    for (int i = 0; i < 12; ++i) {
+        boost::system::error_code ignored;
+        count += client.read_some(boost::asio::buffer(chunk), ignored);
+        loop.run_for(std::chrono::milliseconds(100));
+    }
+    BOOST_TEST(count + receivedBytes() > responseSize);
+    BOOST_TEST(!isClosedByServer);
+}
+
 BOOST_FIXTURE_TEST_CASE(requestIsServedBesideAThousandIdleConnections, ServerFixture)
 {
     std::vector<tcp::socket> idle;
--- a/src/mesh/stream.cpp
+++ b/src/mesh/stream.cpp
@@ -70,6 +70,7 @@
 {
     m_isConnected = true;
     prepareSocket(&m_socket);
+    setTcpUserTimeout(&m_socket);
     waitForData();
     // Only the hello is written before the peer's hello arrives. A stream that ends before that has
     // certainly delivered no attempt.
