--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -1,6 +1,7 @@
 #include "telemetry/event_log.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 
 #include <fcntl.h>
@@ -94,12 +95,14 @@
     if (m_buffer.empty())
         return;
     const ssize_t written = ::write(m_settings.descriptor, m_buffer.data(), m_buffer.size());
+    const bool canRetry = written >= 0 || errno == EAGAIN || errno == EINTR;
     if (written > 0)
         m_buffer.erase(0, static_cast<std::size_t>(written));
-    if (m_buffer.size() <= m_settings.bufferBytes)
+    if (canRetry && m_buffer.size() <= m_settings.bufferBytes)
         return;
-    m_buffer.clear(); // The descriptor's reader has stopped. All these lines count as one dropped.
-    ++m_dropped;
+    // The descriptor's reader has stopped or is gone.
+    m_dropped += static_cast<std::uint64_t>(std::count(m_buffer.begin(), m_buffer.end(), '\n'));
+    m_buffer.clear();
 }
 
 } // namespace buckthornford
--- a/src/telemetry/event_log.h
+++ b/src/telemetry/event_log.h
@@ -47,8 +47,8 @@
     void write(LogCategory category, std::string_view event, std::initializer_list<LogField> fields,
                TimePoint now);
 
-    /// Writes as much of the buffer as the descriptor takes without blocking. Drops the buffer if
-    /// more than Settings::bufferBytes remain.
+    /// Writes as much of the buffer as the descriptor takes without blocking. Drops and counts its
+    /// lines if more than Settings::bufferBytes remain or the descriptor takes none any more.
     void flush();
 
     /// Returns whether a line of \a category may be written now, so that the caller need not build
--- a/src/telemetry/tests/test_telemetry.cpp
+++ b/src/telemetry/tests/test_telemetry.cpp
@@ -1,11 +1,16 @@
 #define BOOST_TEST_MODULE telemetry
+#include "telemetry/event_log.h"
 #include "telemetry/telemetry.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <array>
+#include <csignal>
 #include <random>
 
+#include <unistd.h>
+
 using namespace buckthornford;
 
 BOOST_AUTO_TEST_CASE(quantilesAreWithinFivePercentOfExactOnes)
@@ -71,3 +76,30 @@
     BOOST_TEST(text.find("x_latency_seconds_bucket{class=\"affirmation\",le=\"0.001\"} 1")
                != std::string::npos);
 }
+
+/// Guards against: the lines that a closed descriptor didn't take were neither written nor counted,
+/// and those of a full one counted as a single line.
+BOOST_AUTO_TEST_CASE(linesThatTheDescriptorDoesNotTakeAreCounted)
+{
+    (void)std::signal(SIGPIPE, SIG_IGN);
+    std::array<int, 2> ends{};
+    BOOST_REQUIRE(pipe(ends.data()) == 0);
+    EventLog::Settings settings;
+    settings.descriptor = ends[1];
+    settings.bufferBytes = 100;
+    EventLog log(settings);
+    const TimePoint now = monotonicNow();
+    const auto writeLines = [&log, now](int count) {
+        for (int i = 0; i < count; ++i)
+            log.write(LogCategory::Process, "started", {}, now);
+        log.flush();
+    };
+    const std::vector<char> filler(1U << 20U, 'x'); // More than the pipe takes.
+    BOOST_REQUIRE(write(ends[1], filler.data(), filler.size()) > 0);
+    writeLines(8);
+    BOOST_TEST(log.droppedCount() == 8U);
+    close(ends[0]);
+    writeLines(2);
+    BOOST_TEST(log.droppedCount() == 10U);
+    close(ends[1]);
+}
