Hold the body of a request once

Cause: each step copied the body: four copies at the entry, seven at the target's node, and a read buffer that grew by doubling. Ruled out: refusing such bodies (the configuration allows them). Change: SharedBytes; runs with large bodies are written and read without copies, in the same format. Open: the sum of bodies isn't bounded.

--- a/src/call/call.h
+++ b/src/call/call.h
@@ -34,7 +34,7 @@
     bool idempotent = false; ///< may run more than once
     std::string key;         ///< idempotency key; empty if none
     std::string contentType;
-    std::string body;
+    SharedBytes body;
     std::string target{};  ///< HTTP request target of the caller; empty to derive it from operation
     HttpHeaders headers{}; ///< end-to-end headers to pass on
 };
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -8,4 +8,5 @@
 #include "core/headers.h"
 #include "core/ids.h"
 #include "core/outcome.h"
+#include "core/shared_bytes.h"
 #include "core/units.h"
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -319,7 +319,7 @@
 {
     LocalExecution execution;
     execution.run = run;
-    execution.run.work.body.clear();
+    execution.run.work.body = {};
     execution.deadline = deadline;
     execution.rank = rank;
     execution.budget = RetryBudget(run.retryBudget);
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace buckthornford {
@@ -22,7 +23,7 @@
 /// Error responses after which a connection is closed, which bounds the ids that it remembers.
 constexpr std::size_t maxErrorsPerConnection = 64;
 
-std::string serializeRequest(const ClientRequest &request)
+std::string serializeHead(const ClientRequest &request)
 {
     std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : request.headers)
@@ -31,7 +32,7 @@
                          || request.method == "PUT" || request.method == "PATCH";
     if (hasBody)
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
-    return text.append("\r\n").append(request.body);
+    return text.append("\r\n");
 }
 
 /// Returns the N seconds of "timeout=N" in a Keep-Alive field.
@@ -127,7 +128,7 @@
 {
     m_request = std::move(request);
     m_handler = std::move(handler);
-    m_writeBuffer = serializeRequest(m_request);
+    m_writeBuffer = serializeHead(m_request);
     m_isRequestWritten = false;
     m_receivedBytes = 0;
     m_skippedResponseCount = 0;
@@ -166,9 +167,13 @@
 
 void ClientConnection::write()
 {
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_writeBuffer),
-                             [self = shared_from_this(), generation = m_generation](
-                                     const boost::system::error_code &error, std::size_t) {
+    const SharedBytes &body = m_request.body;
+    const std::array<boost::asio::const_buffer, 2> buffers{
+            boost::asio::buffer(m_writeBuffer),
+            boost::asio::const_buffer(body.data(), body.size())};
+    boost::asio::async_write(m_socket, buffers,
+                             [self = shared_from_this(), generation = m_generation,
+                              body](const boost::system::error_code &error, std::size_t) {
                                  if (generation != self->m_generation)
                                      return;
                                  self->m_isRequestWritten = !error;
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -119,7 +119,7 @@
     std::string method;
     std::string target;
     HttpHeaders headers; ///< includes Host; Content-Length is added when the request is written
-    std::string body;
+    SharedBytes body;
     /// Name of a header field that the response repeats from the request, to match the two; empty
     /// if the server repeats none.
     std::string idHeader;
--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -1,5 +1,9 @@
 #include "link/codec_p.h"
 
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/wire_format_lite.h>
+
 #include <algorithm>
 
 namespace buckthornford {
@@ -9,6 +13,57 @@
 constexpr double permille = 1000.0;
 constexpr double maxUtilization = 1000.0;
 
+using google::protobuf::internal::WireFormatLite;
+
+/// Returns the size of a length-delimited field with \a number whose value has \a size bytes.
+std::size_t lengthFieldSize(int number, std::size_t size)
+{
+    return WireFormatLite::TagSize(number, WireFormatLite::TYPE_BYTES)
+           + WireFormatLite::LengthDelimitedSize(size);
+}
+
+/// Writes the tag and the length of such a field, without the value.
+void writeLengthField(int number, std::size_t size, google::protobuf::io::CodedOutputStream *out)
+{
+    WireFormatLite::WriteTag(number, WireFormatLite::WIRETYPE_LENGTH_DELIMITED, out);
+    out->WriteVarint32(static_cast<std::uint32_t>(size));
+}
+
+/// Returns the value of the length-delimited field with \a number that \a bytes consist of; nothing
+/// if they are anything else.
+std::string_view wholeLengthField(std::string_view bytes, int number)
+{
+    google::protobuf::io::CodedInputStream in(reinterpret_cast<const std::uint8_t *>(bytes.data()),
+                                              static_cast<int>(bytes.size()));
+    const std::uint32_t tag
+            = WireFormatLite::MakeTag(number, WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
+    std::uint32_t length = 0;
+    if (in.ReadTag() != tag || !in.ReadVarint32(&length))
+        return {};
+    const std::string_view value = bytes.substr(static_cast<std::size_t>(in.CurrentPosition()));
+    return value.size() == length ? value : std::string_view();
+}
+
+/// Returns the size of what comes before the body, the last field of the encoded \a run; 0 if it
+/// isn't there.
+std::size_t sizeUpToBody(std::string_view run)
+{
+    google::protobuf::io::CodedInputStream in(reinterpret_cast<const std::uint8_t *>(run.data()),
+                                              static_cast<int>(run.size()));
+    for (;;) {
+        const auto position = static_cast<std::size_t>(in.CurrentPosition());
+        const std::uint32_t tag = in.ReadTag();
+        if (tag == 0)
+            return 0;
+        if (WireFormatLite::GetTagFieldNumber(tag) == wire::Run::kBodyFieldNumber)
+            return wholeLengthField(run.substr(position), wire::Run::kBodyFieldNumber).empty()
+                           ? 0
+                           : position;
+        if (!WireFormatLite::SkipField(&in, tag))
+            return 0;
+    }
+}
+
 std::uint32_t toPermille(Utilization utilization)
 {
     return static_cast<std::uint32_t>(std::clamp(utilization.value(), 0.0, maxUtilization)
@@ -52,9 +107,8 @@
     encodePeer(hello.peer, out->mutable_hello()->mutable_peer());
 }
 
-void encodeKind(const RunRequest &run, wire::Frame *frame)
+void encodeAllButBody(const RunRequest &run, wire::Run *out)
 {
-    wire::Run *out = frame->mutable_run();
     const Work &work = run.work;
     out->set_request(run.request.value());
     out->set_attempt(run.attempt.value());
@@ -67,8 +121,7 @@
     out->set_idempotent(work.idempotent);
     out->set_key(work.key);
     out->set_content_type(work.contentType);
-    out->set_body(work.body);
-    out->set_body_checksum(checksum(work.body));
+    out->set_body_checksum(checksum(work.body.view()));
     out->set_time_left_us(run.timeLeft.count());
     out->set_age_us(run.age.count());
     out->set_budget(run.retryBudget.value());
@@ -88,10 +141,16 @@
         encodePeer(*run.alternate, out->mutable_alternate());
 }
 
-/// Returns nothing if the body doesn't match its checksum, so that damaged work never runs.
-std::optional<Frame> decodeRun(wire::Run *in)
+void encodeKind(const RunRequest &run, wire::Frame *frame)
 {
-    if (checksum(in->body()) != in->body_checksum())
+    encodeAllButBody(run, frame->mutable_run());
+    frame->mutable_run()->set_body(std::string(run.work.body.view()));
+}
+
+/// Returns nothing if \a body doesn't match its checksum, so that damaged work never runs.
+std::optional<Frame> decodeRun(wire::Run *in, SharedBytes body)
+{
+    if (checksum(body.view()) != in->body_checksum())
         return std::nullopt;
     RunRequest run;
     run.request = RequestId{in->request()};
@@ -105,7 +164,7 @@
                     in->idempotent(),
                     in->key(),
                     in->content_type(),
-                    std::move(*in->mutable_body()),
+                    std::move(body),
                     std::move(*in->mutable_target()),
                     decodeHeaders(in)};
     run.timeLeft = Duration{in->time_left_us()};
@@ -291,7 +350,7 @@
     case wire::Frame::kHello:
         return Hello{decodePeer(frame->hello().peer())};
     case wire::Frame::kRun:
-        return decodeRun(frame->mutable_run());
+        return decodeRun(frame->mutable_run(), std::move(*frame->mutable_run()->mutable_body()));
     case wire::Frame::kAnswer:
         return decodeAnswer(frame->mutable_answer());
     case wire::Frame::kCancel:
@@ -309,6 +368,41 @@
     return std::nullopt;
 }
 
+std::string encodeBatchUpToBody(const RunRequest &run)
+{
+    wire::Run head;
+    encodeAllButBody(run, &head);
+    const std::size_t bodySize = run.work.body.size();
+    const std::size_t runSize
+            = head.ByteSizeLong() + lengthFieldSize(wire::Run::kBodyFieldNumber, bodySize);
+    const std::size_t frameSize = lengthFieldSize(wire::Frame::kRunFieldNumber, runSize);
+    std::string bytes;
+    {
+        google::protobuf::io::StringOutputStream stream(&bytes);
+        google::protobuf::io::CodedOutputStream out(&stream);
+        writeLengthField(wire::Batch::kFramesFieldNumber, frameSize, &out);
+        writeLengthField(wire::Frame::kRunFieldNumber, runSize, &out);
+        head.SerializeToCodedStream(&out);
+        writeLengthField(wire::Run::kBodyFieldNumber, bodySize, &out);
+    }
+    return bytes;
+}
+
+std::optional<Frame> decodeRunWithBodyAtEnd(const std::shared_ptr<const std::string> &buffer,
+                                            std::size_t offset)
+{
+    const std::string_view batch = std::string_view(*buffer).substr(offset);
+    const std::string_view frame = wholeLengthField(batch, wire::Batch::kFramesFieldNumber);
+    const std::string_view run = wholeLengthField(frame, wire::Frame::kRunFieldNumber);
+    const std::size_t headSize = sizeUpToBody(run);
+    wire::Run head;
+    if (headSize == 0 || !head.ParseFromArray(run.data(), static_cast<int>(headSize)))
+        return std::nullopt;
+    const std::string_view body
+            = wholeLengthField(run.substr(headSize), wire::Run::kBodyFieldNumber);
+    return decodeRun(&head, SharedBytes(buffer, buffer->size() - body.size()));
+}
+
 std::string encodeBatch(const std::vector<Frame> &frames)
 {
     wire::Batch batch;
--- a/src/link/tests/test_link.cpp
+++ b/src/link/tests/test_link.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE link
+#include "link/codec_p.h"
 #include "link/link.h"
 
 #include <boost/test/unit_test.hpp>
@@ -57,7 +58,7 @@
     BOOST_REQUIRE(frames.value().size() == 7);
     BOOST_TEST(encodeBatch(frames.value()) == bytes);
     const RunRequest &run = std::get<RunRequest>(frames.value()[0]);
-    BOOST_TEST(run.work.body == makeRun().work.body);
+    BOOST_TEST((run.work.body == makeRun().work.body));
     BOOST_TEST((run.alternate == makeRun().alternate));
     BOOST_TEST((run.chainRank == makeRun().chainRank));
     BOOST_TEST(run.isRepeat);
@@ -111,3 +112,52 @@
         }
     }));
 }
+
+/// A receiver that knows nothing of bodies at the end sees a batch like any other.
+BOOST_AUTO_TEST_CASE(batchWithItsBodyAtTheEndDecodesAsABatch)
+{
+    const RunRequest run = makeRun();
+    const std::string bytes = encodeBatchUpToBody(run) + std::string(run.work.body.view());
+    const auto frames = decodeBatch(bytes);
+    BOOST_REQUIRE(frames);
+    BOOST_REQUIRE(frames.value().size() == 1);
+    BOOST_TEST(encodeBatch(frames.value()) == encodeBatch({run}));
+}
+
+BOOST_AUTO_TEST_CASE(runWithItsBodyAtTheEndSharesTheBytesRead)
+{
+    const RunRequest run = makeRun();
+    const auto buffer = std::make_shared<const std::string>("before" + encodeBatchUpToBody(run)
+                                                            + std::string(run.work.body.view()));
+    const std::optional<Frame> frame = decodeRunWithBodyAtEnd(buffer, 6);
+    BOOST_REQUIRE(frame.has_value());
+    const Work &work = std::get<RunRequest>(*frame).work;
+    BOOST_TEST((work.body == run.work.body));
+    BOOST_TEST((work.body.data() + work.body.size() == buffer->data() + buffer->size()));
+    BOOST_TEST(encodeBatch({*frame}) == encodeBatch({run}));
+}
+
+/// Other batches are left to decodeBatch().
+BOOST_AUTO_TEST_CASE(batchWithoutABodyAtItsEndIsNotTakenForOne)
+{
+    const RunRequest run = makeRun();
+    for (const std::string &bytes :
+         {std::string(), encodeBatch({Ping{}}), encodeBatch({run, run}), encodeBatchUpToBody(run),
+          encodeBatchUpToBody(run) + std::string(run.work.body.view()) + "x"}) {
+        BOOST_TEST(!decodeRunWithBodyAtEnd(std::make_shared<const std::string>(bytes), 0));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(damagedBatchWithItsBodyAtTheEndNeverDecodesToAnotherBody)
+{
+    BOOST_TEST(rc::check("a run decodes with the body that was sent, or not at all", [] {
+        const RunRequest sent = makeRun();
+        std::string bytes = encodeBatchUpToBody(sent) + std::string(sent.work.body.view());
+        const auto position = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        bytes[position] = static_cast<char>(*rc::gen::inRange(0, 256));
+        bytes.resize(bytes.size() - *rc::gen::inRange<std::size_t>(0, 3));
+        const auto frame = decodeRunWithBodyAtEnd(std::make_shared<const std::string>(bytes), 0);
+        if (frame)
+            RC_ASSERT(std::get<RunRequest>(*frame).work.body == sent.work.body);
+    }));
+}
--- a/src/mesh/stream.cpp
+++ b/src/mesh/stream.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <array>
+
 namespace buckthornford {
 
 namespace {
@@ -13,6 +15,8 @@
 /// Bytes that an idle buffer may keep allocated.
 constexpr std::size_t maxIdleCapacity = 64U << 10U;
 constexpr unsigned bitsPerByte = 8;
+/// Bytes from which on the body of a run is neither copied into a batch nor out of it.
+constexpr std::size_t largeBodySize = 64U << 10U;
 
 void appendLength(std::uint32_t length, std::string *out)
 {
@@ -74,21 +78,25 @@
     waitForData();
     // Only the hello is written before the peer's hello arrives. A stream that ends before that has
     // certainly delivered no attempt.
-    wire::Batch hello;
-    encode(Hello{m_owner->m_self}, hello.add_frames());
-    write(&hello);
+    QueuedBatch hello;
+    encode(Hello{m_owner->m_self}, hello.frames.add_frames());
+    write(std::move(hello));
 }
 
 void MeshStream::post(const Frame &frame)
 {
     if (m_isClosed)
         return;
-    if (const auto *run = std::get_if<RunRequest>(&frame)) {
+    const auto *run = std::get_if<RunRequest>(&frame);
+    if (run != nullptr) {
         if (m_unanswered.empty())
             m_unansweredSince = monotonicNow();
         m_unanswered.insert({run->request, run->attempt});
     }
-    encode(frame, m_queued.add_frames());
+    if (run != nullptr && run->work.body.size() >= largeBodySize)
+        m_queued.push_back({{}, *run});
+    else
+        encode(frame, queuedFrames().add_frames());
     if (isOutgoing() && std::holds_alternative<Gossip>(frame))
         ping(monotonicNow()); // Gossip has no answer that shows that it has arrived.
 }
@@ -98,44 +106,71 @@
     if (m_isClosed || !m_wasOpen || m_pongDueSince)
         return;
     m_pongDueSince = now;
-    encode(Ping{}, m_queued.add_frames());
+    encode(Ping{}, queuedFrames().add_frames());
     m_owner->scheduleFlush(shared_from_this());
 }
 
+/// Returns the batch to which the next frame is added.
+wire::Batch &MeshStream::queuedFrames()
+{
+    if (m_queued.empty() || m_queued.back().run)
+        m_queued.push_back({std::move(m_spareFrames), std::nullopt});
+    return m_queued.back().frames;
+}
+
 void MeshStream::flush()
 {
-    if (!m_isWriting && m_wasOpen && !m_isClosed && m_queued.frames_size() > 0)
-        write(&m_queued);
+    if (m_isWriting || !m_wasOpen || m_isClosed || m_queued.empty())
+        return;
+    QueuedBatch batch = std::move(m_queued.front());
+    m_queued.pop_front();
+    write(std::move(batch));
 }
 
-void MeshStream::write(wire::Batch *batch)
+void MeshStream::write(QueuedBatch batch)
 {
+    SharedBytes body;
     m_writeBuffer.clear();
-    const std::size_t size = batch->ByteSizeLong();
-    m_writeBuffer.reserve(size + prefixSize);
-    appendLength(static_cast<std::uint32_t>(size), &m_writeBuffer);
-    batch->AppendToString(&m_writeBuffer);
-    if (size > maxIdleCapacity)
-        *batch = wire::Batch();
-    else
-        batch->Clear();
+    if (batch.run) {
+        const std::string head = encodeBatchUpToBody(*batch.run);
+        body = batch.run->work.body;
+        appendLength(static_cast<std::uint32_t>(head.size() + body.size()), &m_writeBuffer);
+        m_writeBuffer += head;
+    } else {
+        const std::size_t size = batch.frames.ByteSizeLong();
+        m_writeBuffer.reserve(size + prefixSize);
+        appendLength(static_cast<std::uint32_t>(size), &m_writeBuffer);
+        batch.frames.AppendToString(&m_writeBuffer);
+        if (size <= maxIdleCapacity) {
+            m_spareFrames = std::move(batch.frames);
+            m_spareFrames.Clear();
+        }
+    }
     m_isWriting = true;
-    m_owner->m_sentBytes += m_writeBuffer.size();
+    m_owner->m_sentBytes += m_writeBuffer.size() + body.size();
+    const std::array<boost::asio::const_buffer, 2> buffers{
+            boost::asio::buffer(m_writeBuffer),
+            boost::asio::const_buffer(body.data(), body.size())};
     boost::asio::async_write(
-            m_socket, boost::asio::buffer(m_writeBuffer),
-            [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-                self->m_isWriting = false;
-                if (self->m_isClosed)
-                    return;
-                if (self->m_writeBuffer.capacity() > maxIdleCapacity)
-                    std::string().swap(self->m_writeBuffer);
-                if (error)
-                    self->closeAndReport(StreamEnd::Closed);
-                else
-                    self->flush();
+            m_socket, buffers,
+            [self = shared_from_this(), body](const boost::system::error_code &error, std::size_t) {
+                self->onWritten(!error);
             });
 }
 
+void MeshStream::onWritten(bool isWhole)
+{
+    m_isWriting = false;
+    if (m_isClosed)
+        return;
+    if (m_writeBuffer.capacity() > maxIdleCapacity)
+        std::string().swap(m_writeBuffer);
+    if (isWhole)
+        flush();
+    else
+        closeAndReport(StreamEnd::Closed);
+}
+
 void MeshStream::waitForData()
 {
     m_socket.async_wait(Socket::wait_read,
@@ -168,24 +203,58 @@
             closeAndReport(StreamEnd::Malformed);
             return;
         }
-        if (m_readBuffer.size() - offset - prefixSize < length)
+        const std::size_t end = offset + prefixSize + length;
+        if (m_readBuffer.size() < end)
             break;
-        wire::Batch batch;
-        const bool isValid = batch.ParseFromArray(m_readBuffer.data() + offset + prefixSize,
-                                                  static_cast<int>(length));
-        offset += prefixSize + length;
-        if (!isValid) {
-            closeAndReport(StreamEnd::Malformed);
-            return;
-        }
-        for (wire::Frame &encoded : *batch.mutable_frames()) {
-            if (std::optional<Frame> frame = decode(&encoded))
-                onFrame(std::move(*frame));
+        if (length >= largeBodySize) {
+            decodeLargeBatch(offset + prefixSize, end);
+            offset = 0;
+        } else {
+            decodeBatch(std::string_view(m_readBuffer).substr(offset + prefixSize, length));
+            offset = end;
         }
     }
     m_readBuffer.erase(0, offset);
     if (m_readBuffer.empty() && m_readBuffer.capacity() > maxIdleCapacity)
         std::string().swap(m_readBuffer);
+    reserveForLargeBatch();
+}
+
+/// Decodes the batch between \a offset and \a end of the read buffer, and removes from the buffer
+/// everything before \a end.
+void MeshStream::decodeLargeBatch(std::size_t offset, std::size_t end)
+{
+    std::string rest = m_readBuffer.substr(end);
+    m_readBuffer.resize(end);
+    const auto bytes = std::make_shared<const std::string>(std::move(m_readBuffer));
+    m_readBuffer = std::move(rest);
+    if (std::optional<Frame> run = decodeRunWithBodyAtEnd(bytes, offset))
+        onFrame(std::move(*run));
+    else
+        decodeBatch(std::string_view(*bytes).substr(offset));
+}
+
+void MeshStream::decodeBatch(std::string_view bytes)
+{
+    wire::Batch batch;
+    if (!batch.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        closeAndReport(StreamEnd::Malformed);
+        return;
+    }
+    for (wire::Frame &encoded : *batch.mutable_frames()) {
+        if (std::optional<Frame> frame = decode(&encoded))
+            onFrame(std::move(*frame));
+    }
+}
+
+/// Avoids that the buffer grows step by step, and is copied each time, while a large batch arrives.
+void MeshStream::reserveForLargeBatch()
+{
+    if (m_readBuffer.size() < prefixSize)
+        return;
+    const std::size_t length = readLength(m_readBuffer);
+    if (length >= largeBodySize && length <= maxBatchSize)
+        m_readBuffer.reserve(prefixSize + length + sharedReadBuffer().size());
 }
 
 void MeshStream::onFrame(Frame frame)
--- a/src/mesh/stream_p.h
+++ b/src/mesh/stream_p.h
@@ -3,6 +3,7 @@
 #include "link/codec_p.h"
 #include "mesh/mesh.h"
 
+#include <deque>
 #include <optional>
 #include <set>
 
@@ -45,7 +46,7 @@
 
     bool isOutgoing() const { return m_id == StreamId{}; }
     bool wasOpen() const { return m_wasOpen; }
-    bool hasUnsentFrames() const { return m_isWriting || m_queued.frames_size() > 0; }
+    bool hasUnsentFrames() const { return m_isWriting || !m_queued.empty(); }
 
     /// Returns the attempts that the peer has not answered, and forgets them.
     std::vector<AttemptRef> takeUnanswered();
@@ -61,12 +62,25 @@
 private:
     friend class MeshTask;
 
+    /// Frames that are written together: either encoded ones, or a run with a large body, which is
+    /// not copied.
+    struct QueuedBatch
+    {
+        wire::Batch frames;
+        std::optional<RunRequest> run;
+    };
+
     void waitForData();
     void readData();
     void decodeBatches();
     void onFrame(Frame frame);
     void onHello(const PeerRef &peer);
-    void write(wire::Batch *batch);
+    wire::Batch &queuedFrames();
+    void write(QueuedBatch batch);
+    void onWritten(bool isWhole);
+    void decodeBatch(std::string_view bytes);
+    void decodeLargeBatch(std::size_t offset, std::size_t end);
+    void reserveForLargeBatch();
     /// Closes the socket and tells the owner that the stream has ended.
     void closeAndReport(StreamEnd end);
 
@@ -76,7 +90,8 @@
     StreamId m_id; ///< zero for an outgoing stream
     std::string m_readBuffer;
     std::string m_writeBuffer;
-    wire::Batch m_queued; ///< frames for the next flush()
+    std::deque<QueuedBatch> m_queued; ///< for the next flushes
+    wire::Batch m_spareFrames;        ///< written and cleared; keeps its memory for later ones
     TimePoint m_startTime;
     TimePoint m_lastReceived;
     TimePoint m_lastPing;
--- a/src/mesh/tests/test_mesh.cpp
+++ b/src/mesh/tests/test_mesh.cpp
@@ -111,6 +111,34 @@
     BOOST_TEST(std::get<Answer>(pair.eventsA.outgoingStreamFrames.front()).reachedUpstream);
 }
 
+/// Large bodies leave and arrive apart from the frames around them.
+BOOST_AUTO_TEST_CASE(runsWithLargeBodiesArriveWholeAndInOrder)
+{
+    MeshPair pair(21333, 21334);
+    constexpr std::size_t count = 6;
+    constexpr std::size_t bodySize = 3U << 20U;
+    for (std::uint64_t id = 1; id <= count; ++id) {
+        RunRequest run = makeRun(id);
+        if (id % 3 != 0)
+            run.work.body = std::string(bodySize + id, static_cast<char>('a' + id));
+        pair.meshA->post(SendToPeer{pair.b, run});
+        pair.meshA->post(SendToPeer{pair.b, Cancel{run.request, run.attempt}});
+    }
+    const auto &frames = pair.eventsB.incomingStreamFrames;
+    pair.runUntil([&] { return frames.size() == 2 * count; });
+    for (std::size_t i = 0; i < count; ++i) {
+        const RunRequest &run = std::get<RunRequest>(frames[2 * i]);
+        const std::uint64_t id = i + 1;
+        BOOST_TEST(run.request.value() == id);
+        BOOST_TEST((run.work.body
+                    == (id % 3 == 0 ? SharedBytes("body")
+                                    : SharedBytes(std::string(bodySize + id,
+                                                              static_cast<char>('a' + id))))));
+        BOOST_TEST(run.work.target == "/path?query");
+        BOOST_TEST((std::get<Cancel>(frames[2 * i + 1]).request == run.request));
+    }
+}
+
 /// Sending to a peer as it was reported with a frame on the outgoing stream reuses that stream.
 /// Guards against a fault in which such a reply broke the stream.
 BOOST_AUTO_TEST_CASE(replyToPeerReusesTheOutgoingStream)
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -17,7 +17,7 @@
     request.method = work.method;
     request.path = "/" + work.operation.value();
     request.query = work.query;
-    request.body = work.body;
+    request.body = std::string(work.body.view());
     const auto timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(job.deadline - now);
     request.headers = {{contextHeader, toHex(job.execution.value())},
                        {timeoutHeader, std::to_string(timeLeft.count())},
--- a/src/poison/poison.cpp
+++ b/src/poison/poison.cpp
@@ -7,8 +7,9 @@
     constexpr char separator = '\n';
     std::string text = work.service.value();
     for (const std::string *part :
-         {&work.operation.value(), &work.method, &work.query, &work.target, &work.body})
+         {&work.operation.value(), &work.method, &work.query, &work.target})
         text.append(1, separator).append(*part);
+    text.append(1, separator).append(std::to_string(checksum(work.body.view())));
     return ContentHash{checksum(text)};
 }
 
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -309,7 +309,7 @@
         self.server.server_close()
 
 
-def configuration(version, routes, services):
+def configuration(version, routes, services, max_body_bytes=65536):
     """Builds a configuration. Each route is (host, prefix, kind, service, timeout in ms)."""
     resources = [
         {
@@ -332,7 +332,7 @@
         {"ResourceKind": "Services", "Metadata": {"Name": name}, "Spec": {"HealthPath": "/healthz"}}
         for name in services
     ]
-    limits = {"HeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000,
+    limits = {"HeaderBytes": 16384, "MaxBodyBytes": max_body_bytes, "HeaderTimeoutMs": 3000,
               "IdleTimeoutMs": 15000}
     resources.append({"ResourceKind": "Limits", "Metadata": {}, "Spec": limits})
     return {"Version": version, "BaseVersion": 0, "Resources": resources}
