Bound what a node holds of request bodies, all of them together

Cause: each body had a limit, their sum none, neither from callers nor between nodes. Ruled out: to stop reading while memory is short (a stream's other frames would wait, and its peer would take it for silent). What doesn't fit is refused before it begins: 503 with Retry-After at the entry, "not run" at the target's node, which skips the rest. The only body is always taken. A client that is refused while it sends is read for the linger time, so that the refusal arrives.

--- a/fuzz/fuzz_announcement.cpp
+++ b/fuzz/fuzz_announcement.cpp
@@ -10,7 +10,7 @@
     buckthornford::ServerRequest request;
     request.method = "POST";
     request.target = "/rpc?call=instances.heartbeat&of=i-1";
-    request.body.assign(reinterpret_cast<const char *>(data), size);
+    request.body = std::string(reinterpret_cast<const char *>(data), size);
     const auto announcement = codec->read(request);
     if (announcement && announcement.value().slots.value() == 0)
         std::abort();
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -7,6 +7,7 @@
 #include "core/hash.h"
 #include "core/headers.h"
 #include "core/ids.h"
+#include "core/memory_budget.h"
 #include "core/outcome.h"
 #include "core/shared_bytes.h"
 #include "core/units.h"
--- a/src/core/tests/test_core.cpp
+++ b/src/core/tests/test_core.cpp
@@ -7,6 +7,36 @@
 
 using namespace buckthornford;
 
+BOOST_AUTO_TEST_CASE(memoryIsHeldUntilTheLastCopyOfItsValueIsGone)
+{
+    const auto budget = std::make_shared<MemoryBudget>(Bytes{100});
+    HeldMemory first(budget);
+    BOOST_TEST(first.grow(Bytes{60}));
+    HeldMemory second(budget);
+    BOOST_TEST(!second.grow(Bytes{50}));
+    BOOST_TEST(second.grow(Bytes{40}));
+    BOOST_TEST(!second.grow(Bytes{41}));
+    BOOST_TEST(budget->refusedCount() == 2U);
+    auto bytes = std::make_optional(SharedBytes(shareHeld("text", std::move(first)), 0));
+    std::optional<SharedBytes> copy = bytes;
+    bytes.reset();
+    BOOST_TEST(copy->view() == "text");
+    BOOST_TEST((budget->held() == Bytes{100}));
+    copy.reset();
+    BOOST_TEST((budget->held() == Bytes{40}));
+}
+
+/// A body of the full size that the configuration allows is served by a calm node.
+BOOST_AUTO_TEST_CASE(theOnlyValueMayHoldMoreThanTheBudget)
+{
+    const auto budget = std::make_shared<MemoryBudget>(Bytes{100});
+    HeldMemory only(budget);
+    BOOST_TEST(only.grow(Bytes{150}));
+    BOOST_TEST(only.grow(Bytes{200}));
+    HeldMemory other(budget);
+    BOOST_TEST(!other.grow(Bytes{1}));
+}
+
 BOOST_AUTO_TEST_CASE(everyErrorHasAUniqueNameAndAMessage)
 {
     std::set<std::string_view> names;
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -31,7 +31,7 @@
     std::string method;
     std::string target;  ///< path and query, as the client sent them
     HttpHeaders headers; ///< end-to-end fields
-    std::string body;
+    SharedBytes body;
 };
 
 /// The response to the ServerRequest with the same id.
@@ -83,8 +83,10 @@
 {
 public:
     /// Listens on \a endpoint. Error::BindFailed if the address can't be bound.
-    static Result<std::unique_ptr<HttpServerTask>> listen(EventLoop *loop, const Endpoint &endpoint,
-                                                          HttpServerEvents *events);
+    /// Requests whose bodies \a bodyMemory can't hold are refused with 503; null bounds only each.
+    static Result<std::unique_ptr<HttpServerTask>>
+    listen(EventLoop *loop, const Endpoint &endpoint, HttpServerEvents *events,
+           std::shared_ptr<MemoryBudget> bodyMemory = nullptr);
     ~HttpServerTask() override;
 
     std::size_t connectionCount() const { return m_connections.size(); }
@@ -99,7 +101,8 @@
 
 private:
     friend class ServerConnection;
-    HttpServerTask(EventLoop *loop, std::unique_ptr<Listener> listener, HttpServerEvents *events);
+    HttpServerTask(EventLoop *loop, std::unique_ptr<Listener> listener, HttpServerEvents *events,
+                   std::shared_ptr<MemoryBudget> bodyMemory);
     void accept(boost::asio::ip::tcp::socket socket);
     void on(const ServerResponse &response, TimePoint now);
     void on(HttpServerLimits &&limits, TimePoint now);
@@ -107,6 +110,7 @@
 
     std::unique_ptr<Listener> m_listener;
     HttpServerEvents *m_events;
+    std::shared_ptr<MemoryBudget> m_bodyMemory;
     HttpServerLimits m_limits;
     bool m_isDraining = false;
     std::unordered_map<ServerConnection *, std::shared_ptr<ServerConnection>> m_connections;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -14,6 +14,8 @@
 constexpr Duration timeoutCheckInterval = std::chrono::milliseconds(250);
 /// Reading pauses when a client has pipelined this many bytes behind an unanswered request.
 constexpr std::size_t maxPipelinedBytes = 65536;
+/// When a client may repeat a request for whose body there was no memory.
+constexpr std::string_view memoryRetryAfterSeconds = "0.3";
 
 RequestId nextRequestId()
 {
@@ -24,13 +26,14 @@
 } // namespace
 
 Result<std::unique_ptr<HttpServerTask>>
-HttpServerTask::listen(EventLoop *loop, const Endpoint &endpoint, HttpServerEvents *events)
+HttpServerTask::listen(EventLoop *loop, const Endpoint &endpoint, HttpServerEvents *events,
+                       std::shared_ptr<MemoryBudget> bodyMemory)
 {
     Result<std::unique_ptr<Listener>> listener = Listener::open(loop, endpoint.host, endpoint.port);
     if (!listener)
         return listener.error();
     std::unique_ptr<HttpServerTask> server(
-            new HttpServerTask(loop, std::move(listener.value()), events));
+            new HttpServerTask(loop, std::move(listener.value()), events, std::move(bodyMemory)));
     server->m_listener->start(
             [task = server.get()](tcp::socket socket) { task->accept(std::move(socket)); });
     server->start();
@@ -38,10 +41,11 @@
 }
 
 HttpServerTask::HttpServerTask(EventLoop *loop, std::unique_ptr<Listener> listener,
-                               HttpServerEvents *events)
+                               HttpServerEvents *events, std::shared_ptr<MemoryBudget> bodyMemory)
     : LoopTask(loop)
     , m_listener(std::move(listener))
     , m_events(events)
+    , m_bodyMemory(std::move(bodyMemory))
 {}
 
 HttpServerTask::~HttpServerTask()
@@ -141,6 +145,8 @@
         handleDisconnect();
         return;
     }
+    if (m_state == State::Lingering)
+        m_readBuffer.clear(); // The rest of a request that was refused.
     if (wasIdle && !m_readBuffer.empty())
         m_timeoutStart = monotonicNow();
     if (m_state == State::Reading)
@@ -168,6 +174,10 @@
             respondToParseError(error);
             return;
         }
+        if (m_parser->is_header_done() && !holdBodyMemory()) {
+            refuseForMemory();
+            return;
+        }
         if (m_parser->is_done())
             deliverRequest();
         else if (used == 0 || error)
@@ -186,6 +196,34 @@
     return coding == fields.end() || boost::beast::iequals(coding->value(), "chunked");
 }
 
+/// Holds memory for the whole body if its length is known, else for what has arrived. Returns false
+/// if the budget doesn't have it.
+bool ServerConnection::holdBodyMemory()
+{
+    const std::uint64_t arrived = m_parser->get().body().size();
+    const std::uint64_t size = std::max(arrived, m_parser->content_length().value_or(0));
+    if (size == 0)
+        return true;
+    if (!m_bodyMemory)
+        m_bodyMemory.emplace(m_server->m_bodyMemory);
+    return m_bodyMemory->grow(Bytes{size});
+}
+
+/// Refuses a request, which has not been delivered, until others have ended.
+void ServerConnection::refuseForMemory()
+{
+    ServerResponse response;
+    response.status = 503;
+    response.headers = {{"Content-Type", "text/plain"},
+                        {"Retry-After", std::string(memoryRetryAfterSeconds)}};
+    response.body = "no memory for the body now\n";
+    response.close = true;
+    m_readBuffer.clear();
+    m_parser.reset();
+    m_bodyMemory.reset();
+    this->sendResponse(response);
+}
+
 /// Answers "Expect: 100-continue": such a client waits for this response before it sends the body.
 void ServerConnection::sendContinueIfExpected()
 {
@@ -213,7 +251,10 @@
     for (const auto &field : message)
         headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     request.headers = endToEndHeaders(std::move(headers));
-    request.body = std::move(message.body());
+    if (m_bodyMemory)
+        request.body
+                = SharedBytes(shareHeld(std::move(message.body()), std::move(*m_bodyMemory)), 0);
+    m_bodyMemory.reset();
     m_state = State::AwaitingResponse;
     m_server->m_awaitingResponse.emplace(request.id, weak_from_this());
     m_server->m_events->onRequest(std::move(request));
@@ -231,6 +272,8 @@
     response.body = error.message() + "\n";
     response.close = true;
     m_readBuffer.clear();
+    m_parser.reset();
+    m_bodyMemory.reset();
     this->sendResponse(response);
 }
 
@@ -325,6 +368,7 @@
     response.close = true;
     m_readBuffer.clear();
     m_parser.reset();
+    m_bodyMemory.reset();
     this->sendResponse(response);
 }
 
--- a/src/http1/server_p.h
+++ b/src/http1/server_p.h
@@ -45,6 +45,8 @@
     void readBytes();
     void parse();
     bool hasKnownFraming() const;
+    bool holdBodyMemory();
+    void refuseForMemory();
     void sendContinueIfExpected();
     void deliverRequest();
     void respondToParseError(const boost::system::error_code &error);
@@ -63,7 +65,8 @@
     std::string m_readBuffer;
     std::string m_writeBuffer;
     std::unique_ptr<Parser> m_parser;
-    std::optional<RequestId> m_request; ///< the request that awaits its response
+    std::optional<HeldMemory> m_bodyMemory; ///< of the request that is being read
+    std::optional<RequestId> m_request;     ///< the request that awaits its response
     /// Start of the timeout that runs: idle, header or linger timeout, by state.
     TimePoint m_timeoutStart;
     bool m_isWaitingForBytes = false;
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -108,7 +108,7 @@
     BOOST_TEST(events.requests.empty());
     send("lo\r\n0\r\n\r\n");
     BOOST_TEST(events.requests.size() == 1U);
-    BOOST_TEST(events.requests[0].body == "hello");
+    BOOST_TEST(events.requests[0].body.view() == "hello");
     BOOST_TEST(findHeader(events.requests[0].headers, "Transfer-Encoding") == nullptr);
 }
 
@@ -222,6 +222,48 @@
     BOOST_TEST(events.requests.empty());
 }
 
+/// Guards against: the bodies of many requests at once took the node over its memory.
+BOOST_FIXTURE_TEST_CASE(bodyWithoutMemoryIsRefusedUntilOthersHaveEnded, ServerFixture)
+{
+    const auto memory = std::make_shared<MemoryBudget>(Bytes{1000});
+    server = std::move(HttpServerTask::listen(&loop, {"127.0.0.1", 0}, &events, memory).value());
+    const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\n";
+    const auto withLength = [&head](std::size_t size) {
+        return head + "Content-Length: " + std::to_string(size) + "\r\n\r\n";
+    };
+    connect();
+    send(withLength(900) + std::string(900, 'a'));
+    BOOST_REQUIRE(events.requests.size() == 1U);
+    tcp::socket first = std::move(client);
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n80\r\n";
+    for (const std::string &refused : {withLength(200), chunked + std::string(128, 'b')}) {
+        connect();
+        send(refused);
+        const std::string text = received();
+        BOOST_TEST(text.find("HTTP/1.1 503") == 0U);
+        BOOST_TEST(text.find("Retry-After: ") != std::string::npos);
+        BOOST_TEST(isClosedByServer);
+    }
+    BOOST_TEST(events.requests.size() == 1U);
+    BOOST_TEST((memory->held() == Bytes{900}));
+    events.requests.clear();
+    connect();
+    send(withLength(200) + std::string(200, 'c'));
+    BOOST_TEST(events.requests.size() == 1U);
+}
+
+/// The client reads its refusal although it is still sending.
+BOOST_FIXTURE_TEST_CASE(refusalReachesAClientThatGoesOnSending, ServerFixture)
+{
+    HttpServerLimits limits;
+    limits.body = Bytes{10};
+    server->post(limits);
+    send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 400000\r\n\r\n");
+    for (int i = 0; i < 4; ++i)
+        send(std::string(100'000, 'x'));
+    BOOST_TEST(received().find("HTTP/1.1 413") == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(incompleteRequestGets408AfterTheHeaderTimeout, ServerFixture)
 {
     HttpServerLimits limits;
--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -29,39 +29,55 @@
     out->WriteVarint32(static_cast<std::uint32_t>(size));
 }
 
-/// Returns the value of the length-delimited field with \a number that \a bytes consist of; nothing
-/// if they are anything else.
-std::string_view wholeLengthField(std::string_view bytes, int number)
+/// Returns where the value starts of the length-delimited field with \a number at the start of
+/// \a bytes; 0 if there is another field, or the value doesn't have \a size bytes with its head.
+std::size_t startOfValue(std::string_view bytes, int number, std::size_t size)
 {
     google::protobuf::io::CodedInputStream in(reinterpret_cast<const std::uint8_t *>(bytes.data()),
                                               static_cast<int>(bytes.size()));
-    const std::uint32_t tag
-            = WireFormatLite::MakeTag(number, WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
     std::uint32_t length = 0;
-    if (in.ReadTag() != tag || !in.ReadVarint32(&length))
-        return {};
-    const std::string_view value = bytes.substr(static_cast<std::size_t>(in.CurrentPosition()));
-    return value.size() == length ? value : std::string_view();
+    if (in.ReadTag() != WireFormatLite::MakeTag(number, WireFormatLite::WIRETYPE_LENGTH_DELIMITED)
+        || !in.ReadVarint32(&length))
+        return 0;
+    const auto start = static_cast<std::size_t>(in.CurrentPosition());
+    return start + length == size ? start : 0;
 }
 
-/// Returns the size of what comes before the body, the last field of the encoded \a run; 0 if it
-/// isn't there.
-std::size_t sizeUpToBody(std::string_view run)
+/// The place of a run's body in the batch that holds only that run, with its body at the end.
+struct BodyPlace
 {
+    std::size_t runStart = 0;
+    std::size_t headEnd = 0; ///< end of the run's other fields
+    std::size_t start = 0;   ///< of the body
+};
+
+/// Finds the body in a batch of \a batchSize bytes, of which \a bytes have arrived.
+std::optional<BodyPlace> findBodyAtEnd(std::string_view bytes, std::size_t batchSize)
+{
+    BodyPlace place;
+    const std::size_t frameStart = startOfValue(bytes, wire::Batch::kFramesFieldNumber, batchSize);
+    if (frameStart == 0)
+        return std::nullopt;
+    const std::size_t runStart = startOfValue(bytes.substr(frameStart),
+                                              wire::Frame::kRunFieldNumber, batchSize - frameStart);
+    if (runStart == 0)
+        return std::nullopt;
+    place.runStart = frameStart + runStart;
+    const std::string_view run = bytes.substr(place.runStart);
     google::protobuf::io::CodedInputStream in(reinterpret_cast<const std::uint8_t *>(run.data()),
                                               static_cast<int>(run.size()));
     for (;;) {
-        const auto position = static_cast<std::size_t>(in.CurrentPosition());
+        place.headEnd = place.runStart + static_cast<std::size_t>(in.CurrentPosition());
         const std::uint32_t tag = in.ReadTag();
-        if (tag == 0)
-            return 0;
         if (WireFormatLite::GetTagFieldNumber(tag) == wire::Run::kBodyFieldNumber)
-            return wholeLengthField(run.substr(position), wire::Run::kBodyFieldNumber).empty()
-                           ? 0
-                           : position;
-        if (!WireFormatLite::SkipField(&in, tag))
-            return 0;
+            break;
+        if (tag == 0 || !WireFormatLite::SkipField(&in, tag))
+            return std::nullopt;
     }
+    const std::size_t start = startOfValue(bytes.substr(place.headEnd), wire::Run::kBodyFieldNumber,
+                                           batchSize - place.headEnd);
+    place.start = place.headEnd + start;
+    return start == 0 ? std::nullopt : std::optional(place);
 }
 
 std::uint32_t toPermille(Utilization utilization)
@@ -70,6 +86,12 @@
                                       * permille);
 }
 
+bool parseHead(std::string_view batch, const BodyPlace &place, wire::Run *head)
+{
+    return head->ParseFromArray(batch.data() + place.runStart,
+                                static_cast<int>(place.headEnd - place.runStart));
+}
+
 void encodePeer(const PeerRef &peer, wire::Peer *out)
 {
     out->set_instance(peer.instance.value());
@@ -147,11 +169,8 @@
     frame->mutable_run()->set_body(std::string(run.work.body.view()));
 }
 
-/// Returns nothing if \a body doesn't match its checksum, so that damaged work never runs.
-std::optional<Frame> decodeRun(wire::Run *in, SharedBytes body)
+RunRequest decodeAllButBody(wire::Run *in)
 {
-    if (checksum(body.view()) != in->body_checksum())
-        return std::nullopt;
     RunRequest run;
     run.request = RequestId{in->request()};
     run.attempt = AttemptNumber{in->attempt()};
@@ -164,7 +183,7 @@
                     in->idempotent(),
                     in->key(),
                     in->content_type(),
-                    std::move(body),
+                    {},
                     std::move(*in->mutable_target()),
                     decodeHeaders(in)};
     run.timeLeft = Duration{in->time_left_us()};
@@ -182,6 +201,16 @@
     return run;
 }
 
+/// Returns nothing if \a body doesn't match its checksum, so that damaged work never runs.
+std::optional<Frame> decodeRun(wire::Run *in, SharedBytes body)
+{
+    if (checksum(body.view()) != in->body_checksum())
+        return std::nullopt;
+    RunRequest run = decodeAllButBody(in);
+    run.work.body = std::move(body);
+    return run;
+}
+
 void encodeKind(const Answer &answer, wire::Frame *frame)
 {
     wire::Answer *out = frame->mutable_answer();
@@ -392,15 +421,20 @@
                                             std::size_t offset)
 {
     const std::string_view batch = std::string_view(*buffer).substr(offset);
-    const std::string_view frame = wholeLengthField(batch, wire::Batch::kFramesFieldNumber);
-    const std::string_view run = wholeLengthField(frame, wire::Frame::kRunFieldNumber);
-    const std::size_t headSize = sizeUpToBody(run);
+    const std::optional<BodyPlace> place = findBodyAtEnd(batch, batch.size());
+    wire::Run head;
+    if (!place || !parseHead(batch, *place, &head))
+        return std::nullopt;
+    return decodeRun(&head, SharedBytes(buffer, offset + place->start));
+}
+
+std::optional<RunRequest> decodeRunHead(std::string_view bytes, std::size_t batchSize)
+{
+    const std::optional<BodyPlace> place = findBodyAtEnd(bytes, batchSize);
     wire::Run head;
-    if (headSize == 0 || !head.ParseFromArray(run.data(), static_cast<int>(headSize)))
+    if (!place || !parseHead(bytes, *place, &head))
         return std::nullopt;
-    const std::string_view body
-            = wholeLengthField(run.substr(headSize), wire::Run::kBodyFieldNumber);
-    return decodeRun(&head, SharedBytes(buffer, buffer->size() - body.size()));
+    return decodeAllButBody(&head);
 }
 
 std::string encodeBatch(const std::vector<Frame> &frames)
--- a/src/link/codec_p.h
+++ b/src/link/codec_p.h
@@ -23,4 +23,9 @@
 std::optional<Frame> decodeRunWithBodyAtEnd(const std::shared_ptr<const std::string> &buffer,
                                             std::size_t offset);
 
+/// Decodes the run, without its body, of a batch of \a batchSize bytes that encodeBatchUpToBody()
+/// began. \a bytes are those that have arrived. Returns nothing if the body hasn't begun to arrive,
+/// or the batch was encoded in another way.
+std::optional<RunRequest> decodeRunHead(std::string_view bytes, std::size_t batchSize);
+
 } // namespace buckthornford
--- a/src/link/tests/test_link.cpp
+++ b/src/link/tests/test_link.cpp
@@ -137,6 +137,21 @@
     BOOST_TEST(encodeBatch({*frame}) == encodeBatch({run}));
 }
 
+BOOST_AUTO_TEST_CASE(headOfARunIsReadAsSoonAsItsBodyBegins)
+{
+    const RunRequest run = makeRun();
+    const std::string head = encodeBatchUpToBody(run);
+    const std::size_t size = head.size() + run.work.body.size();
+    for (std::size_t arrived = 0; arrived < head.size(); ++arrived)
+        BOOST_TEST(!decodeRunHead(head.substr(0, arrived), size));
+    for (const std::string &bytes : {head, head + std::string(run.work.body.view().substr(0, 1))}) {
+        const std::optional<RunRequest> read = decodeRunHead(bytes, size);
+        BOOST_REQUIRE(read.has_value());
+        BOOST_TEST((read->request == run.request));
+        BOOST_TEST((read->retryBudget == run.retryBudget));
+    }
+}
+
 /// Other batches are left to decodeBatch().
 BOOST_AUTO_TEST_CASE(batchWithoutABodyAtItsEndIsNotTakenForOne)
 {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -81,6 +81,8 @@
     /// Without a frame from the peer after a ping, while no attempt is unanswered, until the stream
     /// is ended. Shorter, since that costs no answer.
     Duration idleSilenceTimeout{std::chrono::milliseconds(800)};
+    /// For the large bodies of runs from peers; null bounds only each.
+    std::shared_ptr<MemoryBudget> runMemory{};
     /// Between pings of the outgoing stream from which nothing has arrived for the longest time.
     Duration probeInterval{std::chrono::seconds(1)};
 };
--- a/src/mesh/stream.cpp
+++ b/src/mesh/stream.cpp
@@ -17,6 +17,8 @@
 constexpr unsigned bitsPerByte = 8;
 /// Bytes from which on the body of a run is neither copied into a batch nor out of it.
 constexpr std::size_t largeBodySize = 64U << 10U;
+/// Bytes among which the end of a run's head is expected.
+constexpr std::size_t maxRunHeadSize = 256U << 10U;
 
 void appendLength(std::uint32_t length, std::string *out)
 {
@@ -196,7 +198,8 @@
 
 void MeshStream::decodeBatches()
 {
-    std::size_t offset = 0;
+    std::size_t offset = std::min(m_bytesToSkip, m_readBuffer.size());
+    m_bytesToSkip -= offset;
     while (!m_isClosed && m_readBuffer.size() - offset >= prefixSize) {
         const std::uint32_t length = readLength(std::string_view(m_readBuffer).substr(offset));
         if (length > maxBatchSize) {
@@ -217,7 +220,7 @@
     m_readBuffer.erase(0, offset);
     if (m_readBuffer.empty() && m_readBuffer.capacity() > maxIdleCapacity)
         std::string().swap(m_readBuffer);
-    reserveForLargeBatch();
+    prepareForLargeBatch();
 }
 
 /// Decodes the batch between \a offset and \a end of the read buffer, and removes from the buffer
@@ -226,7 +229,9 @@
 {
     std::string rest = m_readBuffer.substr(end);
     m_readBuffer.resize(end);
-    const auto bytes = std::make_shared<const std::string>(std::move(m_readBuffer));
+    HeldMemory memory = m_batchMemory ? std::move(*m_batchMemory) : HeldMemory(nullptr);
+    m_batchMemory.reset();
+    const auto bytes = shareHeld(std::move(m_readBuffer), std::move(memory));
     m_readBuffer = std::move(rest);
     if (std::optional<Frame> run = decodeRunWithBodyAtEnd(bytes, offset))
         onFrame(std::move(*run));
@@ -247,14 +252,40 @@
     }
 }
 
-/// Avoids that the buffer grows step by step, and is copied each time, while a large batch arrives.
-void MeshStream::reserveForLargeBatch()
+/// Holds memory for the large batch at the start of the buffer, if there is one, and avoids that
+/// the buffer grows step by step while it arrives. A run for which there is no memory is refused.
+void MeshStream::prepareForLargeBatch()
 {
-    if (m_readBuffer.size() < prefixSize)
+    if (m_isClosed || m_batchMemory || m_readBuffer.size() < prefixSize)
         return;
     const std::size_t length = readLength(m_readBuffer);
-    if (length >= largeBodySize && length <= maxBatchSize)
-        m_readBuffer.reserve(prefixSize + length + sharedReadBuffer().size());
+    if (length < largeBodySize || length > maxBatchSize)
+        return;
+    HeldMemory memory(m_owner->m_settings.runMemory);
+    if (!memory.grow(Bytes{length})) {
+        const bool mayBeRun = m_readBuffer.size() < maxRunHeadSize;
+        if (refuseLargeRun(length) || mayBeRun)
+            return;
+        memory = HeldMemory(nullptr); // Gossip, for example, isn't refused.
+    }
+    m_batchMemory.emplace(std::move(memory));
+    m_readBuffer.reserve(prefixSize + length + sharedReadBuffer().size());
+}
+
+/// Answers the run at the start of the buffer, which is arriving in a batch of \a batchSize bytes,
+/// that it didn't run, and skips the rest of it. Returns false if it isn't a run or its head hasn't
+/// arrived.
+bool MeshStream::refuseLargeRun(std::size_t batchSize)
+{
+    const std::optional<RunRequest> run
+            = decodeRunHead(std::string_view(m_readBuffer).substr(prefixSize), batchSize);
+    if (!run)
+        return false;
+    m_bytesToSkip = prefixSize + batchSize - m_readBuffer.size();
+    std::string().swap(m_readBuffer);
+    post(makeRefusal(*run, Error::QueueFull, true));
+    m_owner->scheduleFlush(shared_from_this());
+    return true;
 }
 
 void MeshStream::onFrame(Frame frame)
--- a/src/mesh/stream_p.h
+++ b/src/mesh/stream_p.h
@@ -80,7 +80,8 @@
     void onWritten(bool isWhole);
     void decodeBatch(std::string_view bytes);
     void decodeLargeBatch(std::size_t offset, std::size_t end);
-    void reserveForLargeBatch();
+    void prepareForLargeBatch();
+    bool refuseLargeRun(std::size_t batchSize);
     /// Closes the socket and tells the owner that the stream has ended.
     void closeAndReport(StreamEnd end);
 
@@ -89,6 +90,8 @@
     PeerRef m_peer;
     StreamId m_id; ///< zero for an outgoing stream
     std::string m_readBuffer;
+    std::size_t m_bytesToSkip = 0;           ///< of a run that was refused, and is still arriving
+    std::optional<HeldMemory> m_batchMemory; ///< of the large batch that is arriving
     std::string m_writeBuffer;
     std::deque<QueuedBatch> m_queued; ///< for the next flushes
     wire::Batch m_spareFrames;        ///< written and cleared; keeps its memory for later ones
--- a/src/mesh/tests/test_mesh.cpp
+++ b/src/mesh/tests/test_mesh.cpp
@@ -50,15 +50,15 @@
 /// Nodes a and b on one event loop.
 struct MeshPair
 {
-    MeshPair(std::uint16_t portA, std::uint16_t portB)
+    MeshPair(std::uint16_t portA, std::uint16_t portB, const MeshSettings &settings = {})
         : a{InstanceId{"a"}, Incarnation{1}, "127.0.0.1:" + std::to_string(portA)}
         , b{InstanceId{"b"}, Incarnation{1}, "127.0.0.1:" + std::to_string(portB)}
-        , meshA(std::move(MeshTask::listen(&loop, parseEndpoint(a.address).value(), a, &eventsA,
-                                           MeshSettings{})
-                                  .value()))
-        , meshB(std::move(MeshTask::listen(&loop, parseEndpoint(b.address).value(), b, &eventsB,
-                                           MeshSettings{})
-                                  .value()))
+        , meshA(std::move(
+                  MeshTask::listen(&loop, parseEndpoint(a.address).value(), a, &eventsA, settings)
+                          .value()))
+        , meshB(std::move(
+                  MeshTask::listen(&loop, parseEndpoint(b.address).value(), b, &eventsB, settings)
+                          .value()))
     {}
 
     /// Runs the loop until \a condition holds; at most five seconds.
@@ -139,6 +139,38 @@
     }
 }
 
+/// Guards against: the bodies of many runs at once took the target's node over its memory. What is
+/// refused hasn't run, and what follows on the stream is read.
+BOOST_AUTO_TEST_CASE(runWithoutMemoryIsRefusedUntilOthersHaveEnded)
+{
+    constexpr std::size_t bodySize = 3U << 20U;
+    const auto memory = std::make_shared<MemoryBudget>(Bytes{bodySize * 3 / 2});
+    MeshSettings settings;
+    settings.runMemory = memory;
+    MeshPair pair(21335, 21336, settings);
+    const auto sendRun = [&pair](std::uint64_t id) {
+        RunRequest run = makeRun(id);
+        run.work.body = std::string(bodySize, 'x');
+        pair.meshA->post(SendToPeer{pair.b, run});
+        pair.meshA->post(SendToPeer{pair.b, Cancel{run.request, run.attempt}});
+    };
+    auto &runs = pair.eventsB.incomingStreamFrames;
+    sendRun(1);
+    sendRun(2);
+    pair.runUntil([&] { return runs.size() == 3 && !pair.eventsA.outgoingStreamFrames.empty(); });
+    const Answer &answer = std::get<Answer>(pair.eventsA.outgoingStreamFrames.front());
+    BOOST_TEST((answer.request == RequestId{2}));
+    BOOST_TEST((answer.outcome == Outcome::NotRun));
+    BOOST_TEST(answer.retryable);
+    BOOST_TEST((std::get<Cancel>(runs.back()).request == RequestId{2}));
+    runs.clear();
+    BOOST_TEST((memory->held() == Bytes{0}));
+    sendRun(3);
+    pair.runUntil([&] { return runs.size() == 2; });
+    BOOST_TEST((std::get<RunRequest>(runs.front()).request == RequestId{3}));
+    BOOST_TEST(pair.eventsA.outgoingEnds.empty());
+}
+
 /// Sending to a peer as it was reported with a frame on the outgoing stream reuses that stream.
 /// Guards against a fault in which such a reply broke the stream.
 BOOST_AUTO_TEST_CASE(replyToPeerReusesTheOutgoingStream)
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr Duration periodicWorkInterval = std::chrono::milliseconds(250);
+/// Longest body at the doors that callers don't use; an announcement has some hundred bytes.
+constexpr Bytes maxOwnDoorBody{1U << 20U};
 constexpr Duration settingsReloadInterval = std::chrono::seconds(2);
 
 /// Responds to HTTP requests without a task of its own; used for readiness, announcements and
@@ -101,6 +103,7 @@
             [this](const ServerRequest &request) { return handleAnnouncement(request); }};
     SimpleHandler metricsHandler{
             [this](const ServerRequest &request) { return metricsResponse(request); }};
+    std::shared_ptr<MemoryBudget> requestMemory;
     Endpoint upstreamEndpoint;
     ConfigurationVersion acceptedVersion;
     std::uint64_t acceptedChecksum = 0; ///< of the accepted text
@@ -115,12 +118,15 @@
     , settingsReader(std::move(reader))
     , self{settings.instance, Incarnation{static_cast<std::uint64_t>(steadyWallNow().value())},
            settings.advertisedPeerEndpoint.value_or(settings.peersListenEndpoint).toString()}
+    , requestMemory(std::make_shared<MemoryBudget>(settings.requestMemory))
 {}
 
 Result<void> ServiceNode::Private::open()
 {
+    MeshSettings meshSettings;
+    meshSettings.runMemory = requestMemory;
     Result<std::unique_ptr<MeshTask>> peers
-            = MeshTask::listen(&loop, settings.peersListenEndpoint, self, this, MeshSettings{});
+            = MeshTask::listen(&loop, settings.peersListenEndpoint, self, this, meshSettings);
     if (!peers)
         return peers.error();
     mesh = std::move(peers.value());
@@ -138,10 +144,12 @@
                        &readinessHandler.server},
             ServerPlan{settings.metricsListenEndpoint, &metricsHandler, &metricsHandler.server}};
     for (const ServerPlan &plan : plans) {
-        Result<std::unique_ptr<HttpServerTask>> server
-                = HttpServerTask::listen(&loop, plan.endpoint, plan.events);
+        Result<std::unique_ptr<HttpServerTask>> server = HttpServerTask::listen(
+                &loop, plan.endpoint, plan.events, plan.events == this ? requestMemory : nullptr);
         if (!server)
             return server.error();
+        if (plan.events != this)
+            server.value()->post(HttpServerLimits{.body = maxOwnDoorBody});
         *plan.server = std::move(server.value());
     }
     return success();
@@ -328,7 +336,9 @@
                     + counterText("buckthornford_upstream_connections_total",
                                   upstream->openedConnectionCount())
                     + counterText("buckthornford_store_calls_total", store ? store->callCount() : 0)
-                    + counterText("buckthornford_log_lines_left_out_total", log.droppedCount());
+                    + counterText("buckthornford_log_lines_left_out_total", log.droppedCount())
+                    + counterText("buckthornford_refused_for_memory_total",
+                                  requestMemory->refusedCount());
     return response;
 }
 
--- a/src/proxy/service_node.h
+++ b/src/proxy/service_node.h
@@ -37,6 +37,7 @@
     Duration drainTimeout{std::chrono::milliseconds(2500)}; ///< from notice until no new work
     Duration stopGracePeriod{std::chrono::seconds(6)};      ///< from the stop signal until the kill
     std::string policy = "buckthornford";
+    Bytes requestMemory{128U << 20U}; ///< for the bodies of all requests that the node holds
 };
 
 /// Reads the settings again. Returns nothing if they can't be read now.
--- a/tests/integration/platform_nodes.py
+++ b/tests/integration/platform_nodes.py
@@ -1,6 +1,7 @@
 """Starts real buckthornford-platform-node processes for the integration tests."""
 
 import contextlib
+import itertools
 import os
 import pathlib
 import subprocess
@@ -85,7 +86,7 @@
         self.silent = None  # the node whose upstream sends no heartbeats
         self.heartbeat_thread = threading.Thread(target=self.send_heartbeats, daemon=True)
         self.heartbeat_thread.start()
-        self.request_count = 0
+        self.request_numbers = itertools.count(1)  # threads share it
         for node in self.nodes:
             fleet.wait_until(node.is_ready, 10, "readiness")
         fleet.wait_until(lambda: self.serves_everywhere(), 10, "every node to serve requests")
@@ -123,8 +124,7 @@
 
     def send_request(self, node, path, method="GET", body=None, timeout_ms=2000):
         """Sends one request. Returns (status, headers, body, request id)."""
-        self.request_count += 1
-        request = f"q{self.request_count}"
+        request = f"q{next(self.request_numbers)}"
         headers = {"Host": "swap.example", "X-Request-Id": request,
                    "X-Deadline-Ms": str(timeout_ms)}
         status, fields, answer = fleet.http(method, f"127.0.0.1:{node.outbound}", path, body,
--- a/tests/integration/test_long_bodies.py
+++ b/tests/integration/test_long_bodies.py
@@ -14,6 +14,8 @@
 
 MAX_BODY_BYTES = 64 << 20  # MaxBodyBytes
 TIMEOUT_MS = 6000  # of the route
+MEMORY_MB = 260  # MemoryMb
+AT_ONCE = 160  # bodies, 640 MB
 ALLOWANCE_MB = 32
 SHARE = 1.5  # of the bytes of bodies in flight
 OTHER_INTERVAL_S = 0.01
@@ -98,6 +100,39 @@
     def test_a_hundred_bodies_at_a_time_are_held_once(self):
         self.check_load(1 << 20, 100, 1)
 
+    # Guards against: the sum of all bodies had no bound, and the platform ended the node.
+    def test_more_bodies_than_memory_are_refused_without_having_run(self):
+        answers = []
+
+        def send_one(number):
+            status, fields, _, request = self.send_request(
+                self.nodes[number % 2], "/affirm/x", "POST", b"b" * (4 << 20), TIMEOUT_MS)
+            answers.append((status, fields["Retry-After"], request))
+
+        def send_all():
+            threads = [threading.Thread(target=send_one, args=(i,)) for i in range(AT_ONCE)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+
+        for node in self.nodes:
+            node.upstream.work_s = 1.0
+        send_all()
+        peaks = [peak_mb(node) for node in self.nodes]
+        statuses = [status for status, _, _ in answers]
+        print(f"{AT_ONCE} of 4 MB: {statuses.count(200)} served, {statuses.count(503)} refused; "
+              f"peaks {', '.join(f'{peak:.0f}' for peak in peaks)} MB", file=sys.stderr)
+        self.assertEqual(len(answers), AT_ONCE)
+        self.assertLess(max(peaks), MEMORY_MB)
+        self.assertGreater(statuses.count(200), 0)
+        self.assertGreater(statuses.count(503), 0)
+        for status, retry_after, request in answers:
+            self.assertIn(status, (200, 503))
+            self.assertEqual(len(self.executions_of(request)), 1 if status == 200 else 0)
+            if status == 503:
+                self.assertGreater(float(retry_after), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
