Refuse folded lines and chunked bodies under HTTP/1.0; 501 for unknown codings

Cause: only the value of one field was checked, after Beast had joined lines. Change: folded lines are looked for in the bytes of the head; the version, the number of fields and each member of the list are checked; a coding before chunked that can't be decoded gets 501. Before: test_http1 requestsAreFramedInOneWayOrRefused red in 5 rows, integration_test_framing red (5 failures, 4 doors that wait). After: green. The table's rows that were refused before still are.

--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <cctype>
+#include <iterator>
 
 namespace buckthornford {
 
@@ -17,6 +19,43 @@
 /// When a client may repeat a request for whose body there was no memory.
 constexpr std::string_view memoryRetryAfterSeconds = "0.3";
 
+/// Returns whether the head at the start of \a bytes, if all of it has arrived, has a line that
+/// continues the one before. Beast joins such lines, and others may read them as lines of their
+/// own.
+bool hasFoldedLine(const std::string &bytes)
+{
+    const std::size_t end = bytes.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return false;
+    const std::string_view head = std::string_view(bytes).substr(0, end);
+    return head.find("\r\n ") != std::string_view::npos
+           || head.find("\r\n\t") != std::string_view::npos;
+}
+
+/// Returns the members of a Transfer-Encoding field, empty ones included, without blanks.
+std::vector<std::string> splitCodings(const std::string &value)
+{
+    std::vector<std::string> names;
+    for (std::size_t start = 0; start <= value.size(); start += names.back().size() + 1)
+        names.emplace_back(value.substr(start, value.find(',', start) - start));
+    for (std::string &name : names) {
+        const std::size_t first = name.find_first_not_of(" \t");
+        const std::size_t last = name.find_last_not_of(" \t");
+        name = first == std::string::npos ? std::string() : name.substr(first, last - first + 1);
+    }
+    return names;
+}
+
+/// Returns whether \a name is a name without parameters (a token, RFC 9110, 5.6.2).
+bool isToken(const std::string &name)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [marks](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) != 0
+               || marks.find(c) != std::string_view::npos;
+    });
+}
+
 RequestId nextRequestId()
 {
     static std::uint64_t next = randomNumber();
@@ -166,16 +205,25 @@
             m_parser->body_limit(m_server->m_limits.body.value());
         }
         boost::system::error_code error;
+        if (!m_parser->is_header_done() && hasFoldedLine(m_readBuffer)) {
+            respondToParseError(http::error::bad_value);
+            return;
+        }
         const std::size_t used = parseSome(m_parser.get(), m_readBuffer, &error);
         m_readBuffer.erase(0, used);
-        if (m_parser->is_header_done() && !hasKnownFraming())
-            error = http::error::bad_transfer_encoding;
+        if (m_parser->is_header_done()) {
+            if (const std::optional<FramingFault> fault = framingFault()) {
+                refuse(fault->status, fault->message);
+                return;
+            }
+        }
         if (error && error != http::error::need_more) {
             respondToParseError(error);
             return;
         }
         if (m_parser->is_header_done() && !holdBodyMemory()) {
-            refuseForMemory();
+            refuse(503, "no memory for the body now",
+                   {{"Retry-After", std::string(memoryRetryAfterSeconds)}});
             return;
         }
         if (m_parser->is_done())
@@ -187,13 +235,29 @@
         sendContinueIfExpected();
 }
 
-/// Returns whether the length of the request's body is known (RFC 9112, 6.3): what follows the head
-/// could be taken for the next request otherwise. Only the coding "chunked" alone can be decoded.
-bool ServerConnection::hasKnownFraming() const
+/// Returns why the end of the request's body isn't known (RFC 9112, 6.1 and 6.3): what follows the
+/// head could be taken for the next request then. Only the coding "chunked" alone can be decoded.
+std::optional<ServerConnection::FramingFault> ServerConnection::framingFault() const
 {
-    const auto &fields = m_parser->get();
-    const auto coding = fields.find(http::field::transfer_encoding);
-    return coding == fields.end() || boost::beast::iequals(coding->value(), "chunked");
+    constexpr unsigned http11 = 11;
+    const auto &request = m_parser->get();
+    const auto codings = request.equal_range(http::field::transfer_encoding);
+    if (codings.first == codings.second)
+        return std::nullopt;
+    const bool isSingle = std::next(codings.first) == codings.second;
+    if (request.version() < http11 || !isSingle)
+        return FramingFault{400, "ambiguous transfer coding"};
+    const std::vector<std::string> names = splitCodings(std::string(codings.first->value()));
+    const auto isChunked
+            = [](const std::string &name) { return boost::beast::iequals(name, "chunked"); };
+    const bool endsChunkedOnce = std::count_if(names.begin(), names.end(), isChunked) == 1
+                                 && isChunked(names.back())
+                                 && std::all_of(names.begin(), names.end(), isToken);
+    if (!endsChunkedOnce)
+        return FramingFault{400, "the transfer coding doesn't end with chunked"};
+    if (names.size() > 1)
+        return FramingFault{501, "unknown transfer coding"};
+    return std::nullopt;
 }
 
 /// Holds memory for the whole body if its length is known, else for what has arrived. Returns false
@@ -209,21 +273,6 @@
     return m_bodyMemory->grow(Bytes{size});
 }
 
-/// Refuses a request, which has not been delivered, until others have ended.
-void ServerConnection::refuseForMemory()
-{
-    ServerResponse response;
-    response.status = 503;
-    response.headers = {{"Content-Type", "text/plain"},
-                        {"Retry-After", std::string(memoryRetryAfterSeconds)}};
-    response.body = "no memory for the body now\n";
-    response.close = true;
-    m_readBuffer.clear();
-    m_parser.reset();
-    m_bodyMemory.reset();
-    this->sendResponse(response);
-}
-
 /// Answers "Expect: 100-continue": such a client waits for this response before it sends the body.
 void ServerConnection::sendContinueIfExpected()
 {
@@ -262,14 +311,22 @@
 
 void ServerConnection::respondToParseError(const boost::system::error_code &error)
 {
-    ServerResponse response;
-    response.status = 400;
+    int status = 400;
     if (error == http::error::header_limit)
-        response.status = 431;
+        status = 431;
     else if (error == http::error::body_limit)
-        response.status = 413;
-    response.headers = {{"Content-Type", "text/plain"}};
-    response.body = error.message() + "\n";
+        status = 413;
+    refuse(status, error.message());
+}
+
+/// Answers a request that isn't delivered, and ends the connection.
+void ServerConnection::refuse(int status, const std::string &message, HttpHeaders headers)
+{
+    ServerResponse response;
+    response.status = status;
+    response.headers = std::move(headers);
+    response.headers.emplace_back("Content-Type", "text/plain");
+    response.body = message + "\n";
     response.close = true;
     m_readBuffer.clear();
     m_parser.reset();
