Let no other writer's report decide what a target says of itself

Cause: within one start the sequence alone decided, and it may be another writer's. Change: leaving reports and the first report after a loss need no sequence; reports that contradict the start in use by service or address are outdated, unless only they name the service of the settings. Before: test_proxy_task red in four new cases. After: green.

--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -258,6 +258,7 @@
     void runLocally(const RunRequest &run, ReplyTo from, TimePoint now);
     void finishExecution(UpstreamResult result, TimePoint now);
     bool isNewer(const UpstreamAnnouncement &announcement, TimePoint now) const;
+    bool contradictsUpstream(const UpstreamAnnouncement &announcement) const;
     std::optional<UpstreamStart> startThatLeaves(const UpstreamAnnouncement &announcement) const;
     void useUpstream(const UpstreamAnnouncement &announcement, TimePoint now);
     void startUpstreamDrain(TimePoint now);
--- a/src/proxy/proxy_upstream.cpp
+++ b/src/proxy/proxy_upstream.cpp
@@ -83,8 +83,20 @@
         return *announcement.start > *m_upstream->start;
     if (announcement.id != m_upstream->id)
         return true;
-    return announcement.state == UpstreamAnnouncement::State::Deregistered
-           || announcement.sequence > m_upstream->sequence;
+    // A sequence may be another writer's: it decides only between reports that change little.
+    if (isLeaving || !m_admission.hasUpstream())
+        return true;
+    return !contradictsUpstream(announcement) && announcement.sequence > m_upstream->sequence;
+}
+
+/// Returns whether \a announcement, of the same start of the upstream, is another writer's: within
+/// one start neither the service nor the address changes. If the upstream in use isn't of the
+/// service that the settings name, the report may be right.
+bool ProxyTask::contradictsUpstream(const UpstreamAnnouncement &announcement) const
+{
+    if (announcement.service != m_upstream->service)
+        return announcement.service != m_settings.callerService;
+    return announcement.address != m_upstream->address;
 }
 
 void ProxyTask::on(AnnouncementArrived &&message, TimePoint now)
@@ -103,7 +115,9 @@
             useUpstream(announcement, now);
         return;
     }
-    if (announcement.state == UpstreamAnnouncement::State::Draining)
+    const bool isKnown = m_upstream && m_upstream->id == announcement.id
+                         && m_upstream->start == announcement.start;
+    if (announcement.state == UpstreamAnnouncement::State::Draining && !isKnown)
         m_upstream = announcement;
     const std::optional<UpstreamStart> start = startThatLeaves(announcement);
     if (!start) {
--- a/src/proxy/tests/test_proxy_task.cpp
+++ b/src/proxy/tests/test_proxy_task.cpp
@@ -84,6 +84,8 @@
         callbacks.upstream = [this](UpstreamMessage message) {
             if (auto *job = std::get_if<StartJob>(&message))
                 jobs.push_back(*job);
+            if (auto *change = std::get_if<UpstreamChanged>(&message))
+                identities.push_back(change->identity);
         };
         callbacks.probeUpstream = [] {};
         callbacks.status = [this](const NodeStatus &status) { lastStatus = status; };
@@ -121,8 +123,9 @@
     std::unique_ptr<ProxyTask> task;
     std::vector<Answer> answers;
     std::vector<StartJob> jobs;
-    std::vector<ServerResponse> responses; ///< to the callers beside the node
-    std::vector<RequestId> acknowledged;   ///< announcements
+    std::vector<UpstreamIdentity> identities; ///< that the upstream task was told
+    std::vector<ServerResponse> responses;    ///< to the callers beside the node
+    std::vector<RequestId> acknowledged;      ///< announcements
     std::vector<UpstreamDeparture> departuresToStore;
     NodeStatus lastStatus;
 };
@@ -386,3 +389,79 @@
     loop.run_for(200ms);
     BOOST_TEST((lastStatus.state == MemberState::Serving));
 }
+
+namespace {
+
+/// A node whose upstream has reported once; another writer's report of the same start follows.
+struct NodeWithOddReports : UpstreamNode
+{
+    NodeWithOddReports()
+    {
+        task->start();
+        receive(heartbeat("i-2", 500, 7));
+    }
+
+    void receive(UpstreamAnnouncement announcement)
+    {
+        task->post(AnnouncementArrived{RequestId{++requests}, std::move(announcement)});
+        loop.run_for(20ms);
+    }
+
+    std::uint64_t requests = 1;
+};
+
+} // namespace
+
+/// Guards against: after a report with the sequence of another writer the upstream's own reports
+/// counted as outdated; its acknowledged draining had no effect.
+BOOST_FIXTURE_TEST_CASE(drainingTakesEffectWhateverTheSequencesBeforeIt, NodeWithOddReports)
+{
+    receive(heartbeat("i-2", 500, 900'000));
+    UpstreamAnnouncement draining = heartbeat("i-2", 500, 8);
+    draining.state = UpstreamAnnouncement::State::Draining;
+    receive(draining);
+    BOOST_TEST((lastStatus.state == MemberState::Leaving));
+    BOOST_REQUIRE(lastStatus.departure.has_value());
+    BOOST_TEST((lastStatus.departure->start == UpstreamStart{500}));
+}
+
+/// Guards against: requests of the service that another writer's report named ran at the upstream.
+BOOST_FIXTURE_TEST_CASE(aReportThatNamesAnotherServiceOfTheSameStartChangesNothing,
+                        NodeWithOddReports)
+{
+    const NodeStatus before = lastStatus;
+    UpstreamAnnouncement odd = heartbeat("i-2", 500, 900'000);
+    odd.service = ServiceName{"foreign"};
+    odd.slots = Slots{1000};
+    receive(odd);
+    BOOST_TEST((lastStatus == before));
+    receiveRun(3s);
+    BOOST_TEST(jobs.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(aReportThatNamesAnotherAddressOfTheSameStartChangesNothing,
+                        NodeWithOddReports)
+{
+    const std::size_t before = identities.size();
+    UpstreamAnnouncement odd = heartbeat("i-2", 500, 8);
+    odd.address = {"127.0.0.1", 9};
+    receive(odd);
+    BOOST_TEST(identities.size() == before);
+}
+
+/// Guards against: a report with the sequence of another writer kept an upstream that was lost once
+/// out of use for as long as it ran.
+BOOST_FIXTURE_TEST_CASE(aLostUpstreamIsUsedAgainWhateverTheSequencesBefore, NodeWithOddReports)
+{
+    receive(heartbeat("i-2", 500, 900'000));
+    receiveRun(3s);
+    BOOST_REQUIRE(jobs.size() == 1U);
+    UpstreamResult result;
+    result.execution = jobs.front().execution;
+    result.end = UpstreamResult::End::NotSent;
+    task->post(ExecutionEnded{result});
+    loop.run_for(20ms);
+    BOOST_TEST((lastStatus.state == MemberState::Joining));
+    receive(heartbeat("i-2", 500, 8));
+    BOOST_TEST((lastStatus.state == MemberState::Serving));
+}
