--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -31,7 +31,7 @@
     if (!listener)
         return listener.error();
     std::unique_ptr<MeshTask> task(
-            new MeshTask(loop, std::move(listener.value()), self, events, settings));
+            new MeshTask(loop, std::move(listener.value()), self, events, std::move(settings)));
     task->m_listener->start(
             [mesh = task.get()](tcp::socket socket) { mesh->accept(std::move(socket)); });
     task->start();
@@ -44,7 +44,7 @@
     , m_listener(std::move(listener))
     , m_self(std::move(self))
     , m_events(events)
-    , m_settings(settings)
+    , m_settings(std::move(settings))
 {}
 
 MeshTask::~MeshTask()
