Bound what responses hold that wait for clients

Change: beyond 48 MiB the connections that have made no progress for the longest time, and for a second at least, are closed. Before (the call taken out): test_http1 clientsThatReadNothingAreClosedOnceTheirResponsesHoldTooMuch red, five connections with 80 MiB. After: green, twice.

--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -93,6 +93,8 @@
 
     /// Returns the number of requests whose response is not yet wholly written.
     std::size_t unansweredCount() const;
+    /// Returns the bytes of the responses that are being written.
+    Bytes pendingBytes() const;
     std::uint16_t port() const;
 
 protected:
@@ -104,6 +106,7 @@
     HttpServerTask(EventLoop *loop, std::unique_ptr<Listener> listener, HttpServerEvents *events,
                    std::shared_ptr<MemoryBudget> bodyMemory);
     void accept(boost::asio::ip::tcp::socket socket);
+    void closeStalledConnections(TimePoint now);
     void on(const ServerResponse &response, TimePoint now);
     void on(HttpServerLimits &&limits, TimePoint now);
     void on(DrainConnections &&, TimePoint now);
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -16,6 +16,10 @@
 constexpr Duration timeoutCheckInterval = std::chrono::milliseconds(250);
 /// Reading pauses when a client has pipelined this many bytes behind an unanswered request.
 constexpr std::size_t maxPipelinedBytes = 65536;
+/// Bytes of all responses together that may wait for clients that take nothing of them.
+constexpr Bytes maxPendingBytes{48U << 20U};
+/// Without progress for so long, a client counts as one that takes nothing.
+constexpr Duration minStallTime = std::chrono::seconds(1);
 /// When a client may repeat a request for whose body there was no memory.
 constexpr std::string_view memoryRetryAfterSeconds = "0.3";
 
@@ -148,9 +152,36 @@
     }
     for (const auto &connection : timedOut)
         connection->handleTimeout();
+    closeStalledConnections(now);
     return now + timeoutCheckInterval;
 }
 
+Bytes HttpServerTask::pendingBytes() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[key, connection] : m_connections)
+        sum += connection->pendingBytes();
+    return Bytes{sum};
+}
+
+/// Closes the connections whose clients have taken nothing for the longest time, until the
+/// responses that wait hold no more than maxPendingBytes. Spares those that have just taken
+/// something.
+void HttpServerTask::closeStalledConnections(TimePoint now)
+{
+    while (pendingBytes() > maxPendingBytes) {
+        std::shared_ptr<ServerConnection> stalled;
+        for (const auto &[key, connection] : m_connections) {
+            if (connection->pendingBytes() > 0
+                && (!stalled || connection->lastProgress() < stalled->lastProgress()))
+                stalled = connection;
+        }
+        if (!stalled || now - stalled->lastProgress() < minStallTime)
+            return;
+        stalled->close();
+    }
+}
+
 ServerConnection::ServerConnection(HttpServerTask *server, tcp::socket socket)
     : m_server(server)
     , m_socket(std::move(socket))
@@ -344,10 +375,10 @@
     if (hasBody)
         m_writeBuffer += response.body;
     m_timeoutStart = monotonicNow();
-    const auto countProgress = [self = shared_from_this(),
-                                last = std::size_t{0}](const boost::system::error_code &error,
-                                                       std::size_t written) mutable -> std::size_t {
-        if (written > std::exchange(last, written))
+    m_writtenBytes = 0;
+    const auto countProgress = [self = shared_from_this()](const boost::system::error_code &error,
+                                                           std::size_t written) -> std::size_t {
+        if (written > std::exchange(self->m_writtenBytes, written))
             self->m_timeoutStart = monotonicNow();
         return boost::asio::transfer_all()(error, written);
     };
--- a/src/http1/server_p.h
+++ b/src/http1/server_p.h
@@ -25,6 +25,15 @@
     void sendResponse(const ServerResponse &response);
     bool isTimedOut(TimePoint now) const;
 
+    /// Returns the bytes of the response in progress, which is held until all of it is written.
+    std::size_t pendingBytes() const
+    {
+        return m_state == State::Writing ? m_writeBuffer.size() : 0;
+    }
+
+    /// Returns since when the client has taken nothing of the response in progress.
+    TimePoint lastProgress() const { return m_timeoutStart; }
+
     /// Whether a request has been read whose response is not yet wholly written.
     bool isUnanswered() const
     {
@@ -37,6 +46,9 @@
     /// Closes the socket but leaves the connection in the server's table.
     void closeSocket();
 
+    /// Closes the socket and removes the connection from the server's table.
+    void close();
+
 private:
     using Parser = http::request_parser<http::string_body>;
     /// Why a request is refused whose end can't be told, and the status that says so.
@@ -61,8 +73,6 @@
     /// Closes after the client has disconnected and reports an unanswered request.
     void handleDisconnect();
 
-    /// Closes the socket and removes the connection from the server's table.
-    void close();
     static std::string responseHead(const ServerResponse &response, bool closes);
 
     HttpServerTask *m_server;
@@ -70,6 +80,7 @@
     State m_state = State::Reading;
     std::string m_readBuffer;
     std::string m_writeBuffer;
+    std::size_t m_writtenBytes = 0; ///< of m_writeBuffer
     std::unique_ptr<Parser> m_parser;
     std::optional<HeldMemory> m_bodyMemory; ///< of the request that is being read
     std::optional<RequestId> m_request;     ///< the request that awaits its response
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -394,6 +394,26 @@
     BOOST_TEST(server->connectionCount() == 0U);
 }
 
+/// Guards against: responses that waited for clients that read nothing had no bound in sum, and
+/// took the node over its memory.
+BOOST_FIXTURE_TEST_CASE(clientsThatReadNothingAreClosedOnceTheirResponsesHoldTooMuch,
+                        PausingClientFixture)
+{
+    std::vector<tcp::socket> pausing;
+    for (int i = 0; i < 4; ++i) {
+        pausing.push_back(std::move(client));
+        connect();
+        send(plainGet);
+        respond(std::string(responseSize, 'x'));
+    }
+    BOOST_TEST(server->connectionCount() == 5U);
+    BOOST_TEST(server->pendingBytes().value() > 4 * responseSize);
+    loop.run_for(std::chrono::milliseconds(1800));
+    BOOST_TEST(server->connectionCount() == 2U);
+    BOOST_TEST(server->pendingBytes().value() <= 48U << 20U);
+    BOOST_TEST(receivedBytes() > responseSize); // The last one is not among those closed.
+}
+
 /// The timeout counts from the last progress, not from the start of the response.
 BOOST_FIXTURE_TEST_CASE(clientThatReadsSlowlyGetsItsWholeResponse, PausingClientFixture)
 {
