--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -75,6 +75,14 @@
     bool isClosedByServer = false;
 };
 
+std::string join(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const std::string_view part : parts)
+        text.append(part);
+    return text;
+}
+
 constexpr std::string_view plainGet = "GET /a?b HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n";
 
 } // namespace
@@ -273,8 +281,8 @@
     server->post(limits);
     const std::string field = "X: " + std::string(70'000, 'x') + "\r\n\r\n";
     const std::string chunked = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
-    for (const std::string &request :
-         {"GET /a HTTP/1.1\r\nHost: h\r\n" + field, chunked + "2\r\nhi\r\n0\r\n" + field}) {
+    for (const std::string &request : {join({"GET /a HTTP/1.1\r\nHost: h\r\n", field}),
+                                       join({chunked, "2\r\nhi\r\n0\r\n", field})}) {
         connect();
         send(request);
         runLoop();
@@ -589,7 +597,8 @@
     const std::string field = "X: " + std::string(70'000, 'x') + "\r\n\r\n";
     const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n";
     for (const std::string &bytes :
-         {head + field, head + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n" + field}) {
+         {join({head, field}),
+          join({head, "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n", field})}) {
         BOOST_TEST((exchange(bytes, false).end == ClientResponse::End::Truncated));
         BOOST_TEST(!connection->isReusable());
     }
@@ -602,22 +611,24 @@
     const std::string head = "HTTP/1.1 200 OK\r\n";
     const std::string rest = "Content-Length: 2\r\n\r\nok";
     for (const std::string &bytes : {
-                 head + "X-Id: 7\r\nX-Id: 6\r\n" + rest,
-                 head + "X-Id: 6\r\nX-Id: 7\r\n" + rest,
-                 head + "X-Id: 7\r\nx-id: 7\r\n" + rest,
-                 head + "X-Id: 7\r\nX-Field: aHTTP/1.1 200 OK\r\n" + rest,
-                 head + "X-Field: HTTP/1.0 503 Full\r\nX-Id: 7\r\n" + rest,
-                 head + "X-Id: 7\r\nTransfer-Encoding: gzip\r\n\r\nok",
-                 head + "X-Id: 7\r\nTransfer-Encoding: identity\r\n\r\nok",
-                 head + "X-Id: 7\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-                 head + "X-Id: 7\r\nTransfer-Encoding: chunked, gzip\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-                 head + "X-Id: 7\r\nTransfer-Encoding: chunked\r\n" + rest,
-                 head + "X-Id: 7\r\nContent-Length: 3\r\n" + rest + "k",
+                 join({head, "X-Id: 7\r\nX-Id: 6\r\n", rest}),
+                 join({head, "X-Id: 6\r\nX-Id: 7\r\n", rest}),
+                 join({head, "X-Id: 7\r\nx-id: 7\r\n", rest}),
+                 join({head, "X-Id: 7\r\nX-Field: aHTTP/1.1 200 OK\r\n", rest}),
+                 join({head, "X-Field: HTTP/1.0 503 Full\r\nX-Id: 7\r\n", rest}),
+                 join({head, "X-Id: 7\r\nTransfer-Encoding: gzip\r\n\r\nok"}),
+                 join({head, "X-Id: 7\r\nTransfer-Encoding: identity\r\n\r\nok"}),
+                 join({head,
+                       "X-Id: 7\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}),
+                 join({head,
+                       "X-Id: 7\r\nTransfer-Encoding: chunked, gzip\r\n\r\n2\r\nok\r\n0\r\n\r\n"}),
+                 join({head, "X-Id: 7\r\nTransfer-Encoding: chunked\r\n", rest}),
+                 join({head, "X-Id: 7\r\nContent-Length: 3\r\n", rest, "k"}),
          }) {
         BOOST_TEST((exchange(bytes, true).end == ClientResponse::End::Truncated), bytes);
         BOOST_TEST(!connection->isReusable());
     }
-    const std::string harmless = head + "X-Id: 7\r\nVia: HTTP/1.1 proxy\r\n" + rest;
+    const std::string harmless = join({head, "X-Id: 7\r\nVia: HTTP/1.1 proxy\r\n", rest});
     BOOST_TEST(exchange(harmless, false).body == "ok");
 }
 
