--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -190,7 +190,7 @@
         heartbeat = {
             "born": upstream.born - 5000,
             "Address": "127.0.0.1:1",
-            "Info": {"Service": "affirmer", "Slots": 8},
+            "Info": {"Service": "affirmer", "Version": "v1", "Zone": "z", "Slots": 8},
             "Status": {"State": "draining", "Sequence": 99999, "WarmupLeftMs": 0},
         }
         self.assertEqual(upstream.call("instances.heartbeat", heartbeat), 200)
