Say which answer was refused and why

Callers saw: 502 answer-cut, and the log of the node beside the target told no more than that; of the store's calls not even that. Cause: the reason was lost where the bytes were read, which knew "no response" only. Change: MessageFault names each fault of a message in the terms of RFC 9112, one table with name, text and status; the server and the client read through one parseSome() and both use it. What a client refuses goes with the result up to the log: answer-refused (request, upstream, fault, why, status, received_bytes) and store-answer-refused. A head is looked at when it is whole, not when its body is: one with two ids or a coding that isn't decoded ends its exchange at once.

--- a/src/admission_controller/admission_controller.h
+++ b/src/admission_controller/admission_controller.h
@@ -74,6 +74,7 @@
     std::uint64_t upstreamStartId = 0; ///< identifies the upstream process that was asked
     bool hasUpstreamCrashed = false;   ///< with End::ConnectionLost: the process itself ended
     HttpHeaders headers;               ///< end-to-end fields of the response
+    RefusedResponse refused;           ///< what came that was not taken for a response
     std::optional<UpstreamLoad> load;
 };
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -8,6 +8,7 @@
 #include "core/headers.h"
 #include "core/ids.h"
 #include "core/memory_budget.h"
+#include "core/message_fault.h"
 #include "core/outcome.h"
 #include "core/shared_bytes.h"
 #include "core/units.h"
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -89,7 +89,7 @@
             = std::max_element(m_sizes.begin(), m_sizes.end(), [](const auto &a, const auto &b) {
                   return a.second.value() < b.second.value();
               });
-    largest->first->endExchange(ClientResponse::End::Truncated);
+    largest->first->refuse(MessageFault::NoMemory);
 }
 
 void ResponseMemory::release(ClientConnection *connection)
@@ -169,7 +169,7 @@
                 if (generation != self->m_generation)
                     return;
                 if (failure) {
-                    self->endExchange(ClientResponse::End::NotConnected);
+                    self->refuse(MessageFault::None, ClientResponse::End::NotConnected);
                     return;
                 }
                 self->m_isConnected = true;
@@ -254,25 +254,23 @@
     while (m_handler && !m_readBuffer.empty() && !needsMore) {
         if (!m_parser)
             createParser();
-        // Beast loses the error of a Content-Length beyond the body limit if it goes on at once
-        // with the bytes behind the head.
-        m_parser->eager(m_parser->is_header_done());
-        boost::system::error_code error;
-        const std::size_t used = parseSome(m_parser.get(), m_readBuffer, &error);
-        m_readBuffer.erase(0, used);
-        if (error && error != http::error::need_more) {
-            endExchange(ClientResponse::End::Truncated);
+        const bool hadHead = m_parser->is_header_done();
+        ParseStep step = parseSome(m_parser.get(), &m_readBuffer);
+        if (step.fault == MessageFault::None && !hadHead && m_parser->is_header_done())
+            step.fault = headFault();
+        if (step.fault != MessageFault::None) {
+            refuse(step.fault);
             return;
         }
         if (!m_parser->is_done())
-            needsMore = used == 0 || error;
+            needsMore = step.needsMore;
         else if (takeResponse())
             return;
         else
             needsMore = ++m_skippedResponseCount > m_limits.skippedResponses;
     }
     if (m_handler && exceedsLimits())
-        endExchange(ClientResponse::End::Truncated);
+        refuse(MessageFault::ExchangeTooLong);
     else if (m_handler && m_memory)
         reportHeldMemory();
 }
@@ -283,22 +281,23 @@
     m_memory->hold(this, Bytes{m_readBuffer.size() + bodySize});
 }
 
-/// Returns whether \a response is one message whose body can be passed on. A second copy that
-/// begins inside a half-written head leaves two ids or a status line in a field; a body in another
-/// coding than "chunked" isn't decoded.
-bool ClientConnection::isOneMessage(const ClientResponse &response) const
+/// Returns why no response of the server has the head that was read. A second copy that begins
+/// inside a half-written head leaves two ids or a status line in a field; a body in another coding
+/// than "chunked" isn't decoded.
+MessageFault ClientConnection::headFault() const
 {
-    const std::string *coding = findHeader(response.headers, "Transfer-Encoding");
-    if (coding != nullptr && !boost::beast::iequals(*coding, "chunked"))
-        return false;
     int idCount = 0;
-    for (const auto &[name, value] : response.headers) {
-        if (hasStatusLine(value))
-            return false;
-        if (!m_request.idHeader.empty() && boost::beast::iequals(name, m_request.idHeader))
+    for (const auto &field : m_parser->get()) {
+        if (field.name() == http::field::transfer_encoding
+            && !boost::beast::iequals(field.value(), "chunked"))
+            return MessageFault::TransferCoding;
+        if (hasStatusLine(std::string_view(field.value().data(), field.value().size())))
+            return MessageFault::TwoHeads;
+        if (!m_request.idHeader.empty()
+            && boost::beast::iequals(field.name_string(), m_request.idHeader))
             ++idCount;
     }
-    return idCount <= 1;
+    return idCount <= 1 ? MessageFault::None : MessageFault::TwoHeads;
 }
 
 ClientConnection::Match ClientConnection::match(const ClientResponse &response) const
@@ -323,26 +322,27 @@
 /// final response to this request: an informational (1xx) one, or one with another request's id.
 bool ClientConnection::takeResponse()
 {
-    const std::unique_ptr<Parser> parser = std::move(m_parser);
-    const bool serverCloses = !parser->keep_alive();
-    http::response<http::string_body> message = parser->release();
+    // A trailer may have brought a field that the head had already.
+    if (const MessageFault fault = headFault(); fault != MessageFault::None) {
+        refuse(fault);
+        return true;
+    }
+    const bool serverCloses = !m_parser->keep_alive();
+    http::response<http::string_body> message = m_parser->release();
+    m_parser.reset();
     ClientResponse response;
     response.status = static_cast<int>(message.result_int());
     if (response.status < firstFinalStatus)
         return false;
     for (const auto &field : message)
         response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    if (!isOneMessage(response)) {
-        endExchange(ClientResponse::End::Truncated);
-        return true;
-    }
     const Match matched = match(response);
     if (matched == Match::Other) {
         m_isUnusable = true;
         return false;
     }
     if (matched == Match::Uncertain) {
-        endExchange(ClientResponse::End::Unmatched);
+        refuse(MessageFault::OtherExchange, ClientResponse::End::Unmatched);
         return true;
     }
     if (const std::string *field = findHeader(response.headers, "Keep-Alive"))
@@ -370,14 +370,21 @@
         }
     }
     const bool hasHead = m_parser && m_parser->is_header_done();
-    endExchange(hasHead ? ClientResponse::End::Truncated : ClientResponse::End::ConnectionLost);
+    refuse(isOrderly ? MessageFault::Incomplete : MessageFault::Reset,
+           hasHead ? ClientResponse::End::Truncated : ClientResponse::End::ConnectionLost);
 }
 
-/// Ends the exchange without a response and closes the connection.
-void ClientConnection::endExchange(ClientResponse::End end)
+/// Ends the exchange without a response, because of \a fault in what has arrived, and closes the
+/// connection.
+void ClientConnection::refuse(MessageFault fault, ClientResponse::End end)
 {
     ClientResponse response;
     response.end = end;
+    response.refused.received = Bytes{m_receivedBytes};
+    if (m_receivedBytes > 0)
+        response.refused.fault = fault;
+    if (m_parser && m_parser->is_header_done())
+        response.refused.status = static_cast<int>(m_parser->get().result_int());
     m_isUnusable = true;
     completeExchange(std::move(response));
 }
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -154,6 +154,7 @@
     };
 
     End end = End::Answered;
+    RefusedResponse refused; ///< unless the end is Answered, what came instead of a response
     int status = 0;
     HttpHeaders headers; ///< end-to-end fields
     std::string body;
@@ -225,7 +226,7 @@
     enum class Match { Current, Other, Uncertain };
 
     void connect(const Endpoint &server);
-    bool isOneMessage(const ClientResponse &response) const;
+    MessageFault headFault() const;
     Match match(const ClientResponse &response) const;
     void write();
     void waitForBytes();
@@ -236,7 +237,7 @@
     bool exceedsLimits() const;
     void reportHeldMemory();
     bool takeResponse();
-    void endExchange(ClientResponse::End end);
+    void refuse(MessageFault fault, ClientResponse::End end = ClientResponse::End::Truncated);
     void completeExchange(ClientResponse response);
 
     HttpClientLimits m_limits;
--- /dev/null
+++ b/src/http1/parse.cpp
@@ -0,0 +1,50 @@
+#include "http1/parse_p.h"
+
+#include <algorithm>
+#include <array>
+
+namespace buckthornford {
+
+namespace {
+
+using boost::beast::http::error;
+
+struct BeastErrorRow
+{
+    error code;
+    MessageFault fault;
+};
+
+constexpr std::array beastErrorRows{
+        BeastErrorRow{error::bad_method, MessageFault::StartLine},
+        BeastErrorRow{error::bad_target, MessageFault::StartLine},
+        BeastErrorRow{error::bad_version, MessageFault::StartLine},
+        BeastErrorRow{error::bad_status, MessageFault::StartLine},
+        BeastErrorRow{error::bad_reason, MessageFault::StartLine},
+        BeastErrorRow{error::bad_line_ending, MessageFault::LineEnd},
+        BeastErrorRow{error::bad_field, MessageFault::FieldName},
+        BeastErrorRow{error::bad_value, MessageFault::FieldValue},
+        BeastErrorRow{error::bad_obs_fold, MessageFault::FieldValue},
+        BeastErrorRow{error::bad_content_length, MessageFault::ContentLength},
+        BeastErrorRow{error::bad_transfer_encoding, MessageFault::TransferCoding},
+        BeastErrorRow{error::bad_chunk, MessageFault::Chunk},
+        BeastErrorRow{error::bad_chunk_extension, MessageFault::Chunk},
+        BeastErrorRow{error::header_limit, MessageFault::HeadTooLong},
+        BeastErrorRow{error::buffer_overflow, MessageFault::HeadTooLong},
+        BeastErrorRow{error::body_limit, MessageFault::BodyTooLong},
+        BeastErrorRow{error::bad_alloc, MessageFault::NoMemory},
+        BeastErrorRow{error::partial_message, MessageFault::Incomplete},
+        BeastErrorRow{error::end_of_stream, MessageFault::Incomplete},
+};
+
+} // namespace
+
+MessageFault faultOf(const boost::system::error_code &error)
+{
+    const auto row
+            = std::find_if(beastErrorRows.begin(), beastErrorRows.end(),
+                           [&error](const BeastErrorRow &each) { return error == each.code; });
+    return row == beastErrorRows.end() ? MessageFault::StartLine : row->fault;
+}
+
+} // namespace buckthornford
--- a/src/http1/parse_p.h
+++ b/src/http1/parse_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/message_fault.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -8,18 +10,38 @@
 
 namespace buckthornford {
 
-/// Lets \a parser take what it can from the start of \a bytes and returns how much that was. Beast
-/// reports most errors by \a error, but a field that is longer than it can hold by an exception:
-/// that becomes header_limit, and the parser can't be used any more.
+/// Returns which fault of a message Beast has reported as \a error.
+MessageFault faultOf(const boost::system::error_code &error);
+
+/// What a parser made of the bytes that it was given.
+struct ParseStep
+{
+    bool needsMore = false; ///< it can't go on until more bytes arrive
+    /// Why the message is refused; the parser can't be used any more then.
+    MessageFault fault = MessageFault::None;
+};
+
+/// Moves what \a parser can take now from the start of \a bytes into it: first the head of a
+/// message, then its body. Beast reports most errors by their code, but a field that is longer than
+/// it can hold by an exception.
 template <class Parser>
-std::size_t parseSome(Parser *parser, const std::string &bytes, boost::system::error_code *error)
+ParseStep parseSome(Parser *parser, std::string *bytes)
 {
+    // Beast loses the error of a Content-Length beyond the body limit if it goes on at once with
+    // the bytes behind the head.
+    parser->eager(parser->is_header_done());
+    boost::system::error_code error;
+    std::size_t used = 0;
     try {
-        return parser->put(boost::asio::buffer(bytes), *error);
+        used = parser->put(boost::asio::buffer(*bytes), error);
     } catch (const std::length_error &) {
-        *error = boost::beast::http::error::header_limit;
-        return 0;
+        return {false, MessageFault::HeadTooLong};
     }
+    bytes->erase(0, used);
+    const bool lacksBytes = error == boost::beast::http::error::need_more;
+    if (error && !lacksBytes)
+        return {false, faultOf(error)};
+    return {used == 0 || lacksBytes, MessageFault::None};
 }
 
 } // namespace buckthornford
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -231,25 +231,22 @@
     while (m_state == State::Reading && !m_readBuffer.empty()) {
         if (!m_parser) {
             m_parser = std::make_unique<Parser>();
-            m_parser->eager(true);
             m_parser->header_limit(static_cast<std::uint32_t>(m_server->m_limits.header.value()));
             m_parser->body_limit(m_server->m_limits.body.value());
         }
-        boost::system::error_code error;
         if (!m_parser->is_header_done() && hasFoldedLine(m_readBuffer)) {
-            respondToParseError(http::error::bad_value);
+            refuse(MessageFault::FieldValue);
             return;
         }
-        const std::size_t used = parseSome(m_parser.get(), m_readBuffer, &error);
-        m_readBuffer.erase(0, used);
+        const ParseStep step = parseSome(m_parser.get(), &m_readBuffer);
         if (m_parser->is_header_done()) {
             if (const std::optional<FramingFault> fault = framingFault()) {
                 refuse(fault->status, fault->message);
                 return;
             }
         }
-        if (error && error != http::error::need_more) {
-            respondToParseError(error);
+        if (step.fault != MessageFault::None) {
+            refuse(step.fault);
             return;
         }
         if (m_parser->is_header_done() && !holdBodyMemory()) {
@@ -259,7 +256,7 @@
         }
         if (m_parser->is_done())
             deliverRequest();
-        else if (used == 0 || error)
+        else if (step.needsMore)
             break;
     }
     if (m_state == State::Reading && m_parser && m_parser->is_header_done())
@@ -340,17 +337,13 @@
     m_server->m_events->onRequest(std::move(request));
 }
 
-void ServerConnection::respondToParseError(const boost::system::error_code &error)
+/// Answers a request that isn't delivered, and ends the connection.
+void ServerConnection::refuse(MessageFault fault)
 {
-    int status = 400;
-    if (error == http::error::header_limit)
-        status = 431;
-    else if (error == http::error::body_limit)
-        status = 413;
-    refuse(status, error.message());
+    const MessageFaultRow &row = faultRow(fault);
+    refuse(row.httpStatus, std::string(row.message));
 }
 
-/// Answers a request that isn't delivered, and ends the connection.
 void ServerConnection::refuse(int status, const std::string &message, HttpHeaders headers)
 {
     ServerResponse response;
--- a/src/http1/server_p.h
+++ b/src/http1/server_p.h
@@ -64,10 +64,10 @@
     void parse();
     std::optional<FramingFault> framingFault() const;
     bool holdBodyMemory();
+    void refuse(MessageFault fault);
     void refuse(int status, const std::string &message, HttpHeaders headers = {});
     void sendContinueIfExpected();
     void deliverRequest();
-    void respondToParseError(const boost::system::error_code &error);
     void onWritten(bool isWhole);
 
     /// Closes after the client has disconnected and reports an unanswered request.
--- a/src/proxy/proxy_log.cpp
+++ b/src/proxy/proxy_log.cpp
@@ -32,6 +32,28 @@
                            now);
 }
 
+/// Logs that something came from the upstream that was not taken for an answer, and why.
+void ProxyTask::logRefusedAnswer(const UpstreamResult &result, TimePoint now)
+{
+    const auto running = m_runningWork.find(result.execution);
+    if (running == m_runningWork.end() || !m_callbacks.log->tryAcquire(LogCategory::Problem, now))
+        return;
+    const Work &work = running->second;
+    const RefusedResponse &refused = result.refused;
+    const MessageFaultRow &row = faultRow(refused.fault);
+    m_callbacks.log->write(
+            LogCategory::Problem, "answer-refused",
+            {{"request", m_adapter.callers->callerRequestId(work.headers)},
+             {"upstream", m_upstream ? std::string_view(m_upstream->id) : std::string_view()},
+             {"fault", row.name},
+             {"why", row.message},
+             {"status", std::int64_t{refused.status}},
+             {"received_bytes", static_cast<std::int64_t>(refused.received.value())},
+             {"idempotent", work.idempotent},
+             {"service_ms", toMilliseconds(result.latency)}},
+            now);
+}
+
 /// Logs a change of what this node knows about its upstream.
 void ProxyTask::logUpstreamEvent(std::string_view event, TimePoint now)
 {
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -247,6 +247,7 @@
 
     void logCallEnd(const FinishCall &action, TimePoint now);
     void logAttempt(const InstanceId &target, const Answer &answer, TimePoint now);
+    void logRefusedAnswer(const UpstreamResult &result, TimePoint now);
     void logUpstreamEvent(std::string_view event, TimePoint now);
     void logOutdated(const UpstreamAnnouncement &announcement, TimePoint now);
     void logCallTakenWhileStopping(const IncomingCall &call, Duration timeout, TimePoint now);
--- a/src/proxy/proxy_upstream.cpp
+++ b/src/proxy/proxy_upstream.cpp
@@ -11,6 +11,8 @@
     if (message.result.load)
         m_admission.setReportedLoad(message.result.load->running + message.result.load->waiting,
                                     now);
+    if (message.result.refused.fault != MessageFault::None)
+        logRefusedAnswer(message.result, now);
     if (message.result.end != UpstreamResult::End::ConnectionLost) {
         finishExecution(std::move(message.result), now);
         return;
--- a/src/proxy/service_node.cpp
+++ b/src/proxy/service_node.cpp
@@ -77,6 +77,8 @@
 
     void acceptConfiguration(const std::string &text, StoreEra era, std::string_view source);
     void probeUpstream();
+    void logRefusedStoreResponse(std::string_view call, const RefusedResponse &refused,
+                                 TimePoint now);
     void runPeriodicWork();
     void readSettings();
     void startStop();
@@ -227,9 +229,27 @@
                   {{"revision", static_cast<std::int64_t>(acceptedVersion.revision.value())}},
                   monotonicNow());
     };
+    callbacks.responseRefused = [this](std::string_view call, const RefusedResponse &refused) {
+        logRefusedStoreResponse(call, refused, monotonicNow());
+    };
     return callbacks;
 }
 
+void ServiceNode::Private::logRefusedStoreResponse(std::string_view call,
+                                                   const RefusedResponse &refused, TimePoint now)
+{
+    if (!log.tryAcquire(LogCategory::Problem, now))
+        return;
+    const MessageFaultRow &row = faultRow(refused.fault);
+    log.write(LogCategory::Problem, "store-answer-refused",
+              {{"call", call},
+               {"fault", row.name},
+               {"why", row.message},
+               {"status", std::int64_t{refused.status}},
+               {"received_bytes", static_cast<std::int64_t>(refused.received.value())}},
+              now);
+}
+
 void ServiceNode::Private::startTasks()
 {
     const std::uint64_t seed = checksum(settings.instance.value());
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -1,6 +1,7 @@
 #include "store/store.h"
 
 #include <algorithm>
+#include <array>
 
 namespace buckthornford {
 
@@ -27,6 +28,11 @@
 /// the row. It is half of the lifetime of a tombstone (Membership::Settings::tombstoneLifetime).
 constexpr Duration rowRefreshInterval = std::chrono::minutes(30);
 
+/// In the order of StoreTask::CallKind; they stand in logs.
+constexpr std::array<std::string_view, 6> callNames{"read-configuration", "write-own-row",
+                                                    "list-nodes",         "remove-rows",
+                                                    "read-departure",     "write-departure"};
+
 } // namespace
 
 StoreTask::StoreTask(EventLoop *loop, const Endpoint &store,
@@ -212,14 +218,22 @@
                                   if (m_calls[kind].attempt != attempt)
                                       return;
                                   const TimePoint endTime = monotonicNow();
-                                  if (response.end != ClientResponse::End::Answered)
-                                      failCall(kind, endTime);
-                                  else
-                                      finishCall(kind, m_codec->read(response), endTime);
+                                  onResponse(kind, response, endTime);
                                   wakeBy(endTime);
                               });
 }
 
+void StoreTask::onResponse(CallKind kind, const ClientResponse &response, TimePoint now)
+{
+    if (response.end == ClientResponse::End::Answered) {
+        finishCall(kind, m_codec->read(response), now);
+        return;
+    }
+    if (response.refused.fault != MessageFault::None)
+        m_callbacks.responseRefused(callNames[kind], response.refused);
+    failCall(kind, now);
+}
+
 void StoreTask::endCall(CallState *call)
 {
     ++call->attempt; // A response to this attempt that arrives later is ignored.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -60,6 +60,8 @@
     std::function<void(const std::string &, StoreEra)> configuration;
     std::function<void(std::vector<StoredRow>)> nodes; ///< rows of all nodes
     std::function<void(bool)> reachable;               ///< called when reachability has changed
+    /// A call, of the kind that is named, got something that was not taken for a response.
+    std::function<void(std::string_view, const RefusedResponse &)> responseRefused;
     /// Text of the departure that an earlier start of this node has stored; empty if none has.
     std::function<void(const std::string &)> departureRead;
     std::function<void()> departureStored; ///< the departure given last is stored
@@ -115,6 +117,7 @@
     void startCall(CallKind kind, TimePoint now);
     void finishCall(CallKind kind, const StoreResponse &response, TimePoint now);
     void failCall(CallKind kind, TimePoint now);
+    void onResponse(CallKind kind, const ClientResponse &response, TimePoint now);
 
     /// Gives up the attempt in progress and its connection.
     static void endCall(CallState *call);
--- a/src/store/tests/test_store.cpp
+++ b/src/store/tests/test_store.cpp
@@ -65,6 +65,10 @@
     callbacks.departureRead = [](const std::string &) {};
     callbacks.departureStored = [] {};
     callbacks.reachable = [&reachable](bool isReachable) { reachable.push_back(isReachable); };
+    std::vector<MessageFault> faults;
+    callbacks.responseRefused = [&faults](std::string_view, const RefusedResponse &refused) {
+        faults.push_back(refused.fault);
+    };
     StoreTask store(&loop, {"127.0.0.1", server.port()}, std::make_shared<TestCodec>(), false, 1,
                     callbacks);
     store.start();
@@ -72,5 +76,9 @@
         loop.run_for(std::chrono::milliseconds(10));
     BOOST_TEST(reachable == std::vector<bool>{false});
     BOOST_TEST(store.callCount() >= 3U);
+    BOOST_TEST(faults.size() >= 2U);
+    for (const MessageFault fault : faults)
+        BOOST_TEST((fault == MessageFault::BodyTooLong || fault == MessageFault::NoMemory),
+                   faultRow(fault).name);
     BOOST_TEST(server.written() < maxWritten);
 }
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -54,6 +54,16 @@
     return End::ConnectionLost;
 }
 
+/// Returns what was refused of \a response, which has ended its execution as \a end.
+RefusedResponse refusedOf(const ClientResponse &response, UpstreamResult::End end)
+{
+    const bool isRefusedHere = response.end == ClientResponse::End::Answered
+                               && end == UpstreamResult::End::Truncated;
+    if (!isRefusedHere)
+        return response.refused;
+    return {MessageFault::NotFromUpstream, response.status, Bytes{response.body.size()}};
+}
+
 } // namespace
 
 UpstreamTask::UpstreamTask(EventLoop *loop, const UpstreamCodec *codec,
@@ -149,6 +159,7 @@
     result.execution = execution;
     result.end = toResultEnd(response, *m_codec);
     result.status = response.status;
+    result.refused = refusedOf(response, result.end);
     result.latency = now - job.startTime;
     result.upstreamStartId = job.upstream.start;
     result.load = m_codec->load(response);
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -6,6 +6,8 @@
 import base64
 import http.server
 import json
+import socket
+import struct
 import threading
 import time
 import urllib.parse
@@ -38,6 +40,14 @@
         self.close_connection = True
         self.connection.close()
 
+    def reset_connection(self):
+        """Closes the connection with a TCP reset. What was sent before has arrived."""
+        self.close_connection = True
+        linger = struct.pack("ii", 1, 0)  # on, for 0 s
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.rfile.close()  # the last reference to the socket but that of the connection
+        self.connection.close()
+
     def reply(self, status, body=b"", headers=()):
         if not isinstance(body, bytes):
             body = json.dumps(body).encode()
@@ -228,12 +238,15 @@
         self.padding = b""  # follows the text of each answer
         self.state = "ready"
         self.fault = None  # is called with the handler; true if it has ended the request
+        self.early_fault = None  # like fault, but is called before the body is read
         self.executions = []
         self.unsent = []  # ids of requests whose responses could not be sent
         upstream = self
 
         class UpstreamHandler(Handler):
             def execute(self):
+                if upstream.early_fault and upstream.early_fault(self):
+                    return
                 body = self.body()
                 request_id = self.headers["X-Request-Id"]
                 echo = [("X-Request-Id", request_id)]
