Take no body for whole that a reset has ended while the request was written

Callers saw: a target answered a long upload at once with a 200 without a length, sent part of the body and reset the connection; the client got that part as a complete answer (MIXED). Cause: the kernel reports a reset to one call on the socket only. The write of the upload got it, and its handler left it to the next read to find the broken connection; but that read tells an end of the stream, and an end of the stream ends a body without a length. A body of known length was refused, but as "incomplete". Late resets (the upload was written) were refused already. Change: the connection remembers that a write found a reset, and an end of the stream is no orderly one then. A reset that comes after the peer's orderly end fails the write with broken_pipe: the body is whole and is taken as before.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -146,6 +146,7 @@
     m_handler = std::move(handler);
     m_writeBuffer = serializeHead(m_request);
     m_isRequestWritten = false;
+    m_isReset = false;
     m_receivedBytes = 0;
     m_skippedResponseCount = 0;
     if (m_isConnected)
@@ -192,13 +193,20 @@
                               body](const boost::system::error_code &error, std::size_t) {
                                  if (generation != self->m_generation)
                                      return;
-                                 self->m_isRequestWritten = !error;
-                                 std::string().swap(self->m_writeBuffer);
-                                 // The response may have arrived already. An error needs no
-                                 // handling here: the next read reports a broken connection.
+                                 self->onWritten(error);
                              });
 }
 
+/// The response, or the start of it, may have arrived already, so an error doesn't end the
+/// exchange. But the socket reports a reset once: if this write has got it, the next read will only
+/// tell an end. A write after an orderly end fails with broken_pipe instead.
+void ClientConnection::onWritten(const boost::system::error_code &error)
+{
+    m_isRequestWritten = !error;
+    m_isReset = error && error != boost::asio::error::broken_pipe;
+    std::string().swap(m_writeBuffer);
+}
+
 void ClientConnection::waitForBytes()
 {
     m_socket.async_wait(tcp::socket::wait_read,
@@ -225,7 +233,7 @@
     } else {
         parse();
         if (generation == m_generation && state != ReadState::Open)
-            onEof(state == ReadState::Ended);
+            onEof(state == ReadState::Ended && !m_isReset);
     }
     if (generation == m_generation && m_isConnected)
         waitForBytes();
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -229,6 +229,7 @@
     MessageFault headFault() const;
     Match match(const ClientResponse &response) const;
     void write();
+    void onWritten(const boost::system::error_code &error);
     void waitForBytes();
     void readBytes();
     void parse();
@@ -257,6 +258,7 @@
     bool m_isConnected = false;
     bool m_hasTcpKeepAlive = false;
     bool m_isRequestWritten = false;
+    bool m_isReset = false;         ///< a write has found that the peer has reset the connection
     bool m_isUnusable = false;      ///< the server closes the connection, or sent unexpected bytes
     std::uint64_t m_generation = 0; ///< lets callbacks of an earlier, closed connection be ignored
 };
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -486,6 +486,7 @@
         request.target = "/";
         request.headers = {{"Host", "h"}, {"X-Id", id}};
         request.idHeader = "X-Id";
+        request.body = requestBody;
         result.reset();
         connection->exchange({"127.0.0.1", acceptor.local_endpoint().port()}, request,
                              [this](ClientResponse response) { result = std::move(response); });
@@ -506,6 +507,27 @@
     }
 
     tcp::acceptor acceptor;
+    /// Sends a request that can't be written whole; the server reads none of it, writes \a bytes,
+    /// and resets the connection, after an orderly end of what it sends if \a endsOrderly. The
+    /// client sees all of that at once.
+    ClientResponse exchangeAndReset(const std::string &bytes, bool endsOrderly)
+    {
+        connection.reset();
+        peer = tcp::socket(loop);
+        requestBody = std::string(32U << 20U, 'b');
+        start("7");
+        boost::asio::write(peer, boost::asio::buffer(bytes));
+        if (endsOrderly)
+            peer.shutdown(tcp::socket::shutdown_send);
+        peer.set_option(boost::asio::socket_base::linger(true, 0));
+        peer.close();
+        loop.run_for(std::chrono::milliseconds(50));
+        BOOST_REQUIRE(result.has_value());
+        BOOST_TEST(!connection->isReusable());
+        return *result;
+    }
+
+    std::string requestBody;
     tcp::socket peer{loop}; ///< the server's end of the kept connection
     std::shared_ptr<ClientConnection> connection;
     std::optional<ClientResponse> result;
@@ -586,6 +608,28 @@
     BOOST_TEST(!connection->isReusable());
 }
 
+/// Guards against: the write of the request got the error of the reset, the next read told an end,
+/// and the part of a body that had arrived passed for the whole.
+BOOST_FIXTURE_TEST_CASE(resetWhileTheRequestIsWrittenEndsNoResponse, ClientFixture)
+{
+    for (const std::string version : {"HTTP/1.0", "HTTP/1.1"}) {
+        for (const std::string rest :
+             {" 200 OK\r\nX-Id: 7\r\n\r\npart", " 500 Failed\r\nX-Id: 7\r\n\r\npart",
+              " 200 OK\r\nX-Id: 7\r\nContent-Length: 5\r\n\r\npart"}) {
+            const ClientResponse response = exchangeAndReset(version + rest, false);
+            BOOST_TEST((response.end == ClientResponse::End::Truncated));
+            BOOST_TEST(faultRow(response.refused.fault).name == "reset");
+        }
+    }
+    BOOST_TEST((exchangeAndReset("", false).end == ClientResponse::End::ConnectionLost));
+}
+
+BOOST_FIXTURE_TEST_CASE(responseThatIsWholeBeforeTheResetIsTaken, ClientFixture)
+{
+    BOOST_TEST(exchangeAndReset(matchingResponse, false).body == "ok");
+    BOOST_TEST(exchangeAndReset(headWithoutLength + "all of it", true).body == "all of it");
+}
+
 BOOST_FIXTURE_TEST_CASE(malformedResponseReportsTruncated, ClientFixture)
 {
     BOOST_TEST((exchange("nonsense\r\n\r\n", false).end == ClientResponse::End::Truncated));
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -188,6 +188,22 @@
 
         self.check_each(check, answer, body, reads_body)
 
+    # Guards against: the error of a write hid the reset from the next read, which told an orderly
+    # end, and the part of a body that had arrived passed for the whole.
+    def test_a_body_without_a_length_that_a_reset_breaks_off_is_no_answer(self):
+        for start_line in (OK, "HTTP/1.0 200 OK"):
+            answer = Answer(start_line, NO_LENGTH, end=reset)
+            self.check_refused(answer, "reset", LONG_BODY, reads_body=False)
+            self.check_refused(answer, "reset", LONG_BODY)
+            self.check_refused(answer, "reset")
+
+    def test_a_body_with_a_length_that_a_reset_breaks_off_is_no_answer(self):
+        for fields in (LONGER, UNFINISHED):
+            body = PART if fields is LONGER else b"3\r\npar\r\n"
+            answer = Answer(OK, fields, body, reset)
+            self.check_refused(answer, "reset", LONG_BODY, reads_body=False)
+            self.check_refused(answer, "reset")
+
     def test_a_length_that_an_orderly_close_breaks_off_is_no_answer(self):
         for fields in (LONGER, UNFINISHED):
             body = PART if fields is LONGER else b"3\r\npar\r\n"
