Refuse an answer whose status is none

Callers saw: a target answered with status 000; elsewhere the client got it as an answer. Here the answer was skipped like an interim one, and its request waited for another until its deadline; one whose status was 600 or 999 was passed on. Cause: any three digits were a status, and all below 200 counted as interim. Change: where heads are read, a response whose status is not in 100 to 599 (RFC 9110, 15) is refused as soon as its head is whole. Three digits and no more were demanded already (kept as a test).

--- a/src/core/message_fault.cpp
+++ b/src/core/message_fault.cpp
@@ -10,6 +10,8 @@
         MessageFaultRow{MessageFault::None, "none", "no fault", 200},
         MessageFaultRow{MessageFault::StartLine, "bad-start-line",
                         "the start line is none of HTTP/1.0 or HTTP/1.1 (RFC 9112, 3 and 4)", 400},
+        MessageFaultRow{MessageFault::Status, "bad-status",
+                        "the status is not in 100 to 599 (RFC 9112, 4; RFC 9110, 15)", 400},
         MessageFaultRow{MessageFault::LineEnd, "bad-line-end",
                         "a line does not end with CRLF (RFC 9112, 2.2)", 400},
         MessageFaultRow{MessageFault::FieldName, "bad-field-name",
--- a/src/core/message_fault.h
+++ b/src/core/message_fault.h
@@ -12,6 +12,7 @@
     None,
     // The head (RFC 9112, 2 to 6).
     StartLine,
+    Status,
     LineEnd,
     FieldName,
     FieldValue,
--- a/src/http1/parse.cpp
+++ b/src/http1/parse.cpp
@@ -37,8 +37,16 @@
         BeastErrorRow{error::end_of_stream, MessageFault::Incomplete},
 };
 
+constexpr unsigned firstStatusCode = 100;
+constexpr unsigned lastStatusCode = 599;
+
 } // namespace
 
+bool isStatusCode(unsigned status)
+{
+    return status >= firstStatusCode && status <= lastStatusCode;
+}
+
 MessageFault faultOf(const boost::system::error_code &error)
 {
     const auto row
--- a/src/http1/parse_p.h
+++ b/src/http1/parse_p.h
@@ -13,6 +13,9 @@
 /// Returns which fault of a message Beast has reported as \a error.
 MessageFault faultOf(const boost::system::error_code &error);
 
+/// Returns whether the number \a status is a status code (RFC 9110, 15).
+bool isStatusCode(unsigned status);
+
 /// What a parser made of the bytes that it was given.
 struct ParseStep
 {
@@ -29,7 +32,8 @@
 {
     // Beast loses the error of a Content-Length beyond the body limit if it goes on at once with
     // the bytes behind the head.
-    parser->eager(parser->is_header_done());
+    const bool hadHead = parser->is_header_done();
+    parser->eager(hadHead);
     boost::system::error_code error;
     std::size_t used = 0;
     try {
@@ -41,6 +45,10 @@
     const bool lacksBytes = error == boost::beast::http::error::need_more;
     if (error && !lacksBytes)
         return {false, faultOf(error)};
+    if constexpr (!Parser::is_request::value) {
+        if (!hadHead && parser->is_header_done() && !isStatusCode(parser->get().result_int()))
+            return {false, MessageFault::Status};
+    }
     return {used == 0 || lacksBytes, MessageFault::None};
 }
 
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -676,6 +676,22 @@
     BOOST_TEST(exchange(harmless, false).body == "ok");
 }
 
+/// Guards against: a status below 100 counted as an interim response, and the exchange went on
+/// until its deadline; one above 599 was passed on.
+BOOST_FIXTURE_TEST_CASE(statusThatIsNoneReportsTruncatedAtOnce, ClientFixture)
+{
+    for (const std::string status :
+         {"000", "001", "099", "200", "299", "300", "404", "500", "599", "600", "700", "999"}) {
+        const std::string head = join({"HTTP/1.1 ", status, " Any\r\nX-Id: 7\r\n"});
+        const ClientResponse response = exchange(head + "Content-Length: 0\r\n\r\n", true);
+        const bool isTaken = response.end == ClientResponse::End::Answered;
+        BOOST_TEST(isTaken == (status >= "200" && status <= "599"), status);
+        BOOST_TEST((isTaken || response.refused.fault == MessageFault::Status), status);
+    }
+    BOOST_TEST((exchange("HTTP/1.1 000 \r\nX-Id: 7\r\n\r\npart", false).end
+                == ClientResponse::End::Truncated));
+}
+
 BOOST_FIXTURE_TEST_CASE(refusalWithoutAnIdOnAKeptConnectionIsNotTaken, ClientFixture)
 {
     BOOST_TEST(exchangeNext("7", matchingResponse).body == "ok");
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -24,6 +24,7 @@
 LONG_BODY = b"u" * (16 << 20)  # more than the buffers of a connection hold
 SHORT_BODY = b"u"
 LOG_S = 5  # in which a line is written
+LOG_PAUSE_S = 0.5  # a node writes 60 lines about requests in a second and leaves out the others
 PART = b"part of the answer"
 SAFE = ("swap.example", "/status/", "safe", "affirmer", TIMEOUT_MS)
 UNSAFE = ("swap.example", "/affirm/", "unsafe", "affirmer", TIMEOUT_MS)
@@ -166,6 +167,7 @@
     def check_refused(self, answer, fault, body=SHORT_BODY, reads_body=True):
         """No client gets `answer`: each is told at once that it isn't known what has run."""
         expected = {}
+        time.sleep(LOG_PAUSE_S)
 
         def check(result, arrivals):
             status, fields, received, request = result
@@ -224,6 +226,22 @@
                 self.check_passed_on(answer, 200, LONG_BODY, reads_body=False)
                 self.check_passed_on(answer)
 
+    # Guards against: an answer with a status below 100 was skipped like an interim one, and its
+    # request waited for another answer until the deadline; one above 599 was passed on.
+    def test_a_status_that_is_none_is_no_answer(self):
+        for status in ("000", "001", "099", "600", "999"):
+            for fields in (NO_LENGTH, WHOLE):
+                self.check_refused(Answer(f"HTTP/1.1 {status} Broken", fields), "bad-status")
+        self.check_refused(Answer("HTTP/1.0 000 ", WHOLE, end=close_orderly), "bad-status")
+        self.check_refused(Answer("HTTP/1.1 000 ", NO_LENGTH, end=reset), "bad-status", LONG_BODY,
+                           reads_body=False)
+        behind = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Broken"
+        self.check_refused(Answer(behind, WHOLE), "bad-status")
+
+    def test_a_start_line_without_three_digits_is_no_answer(self):
+        for status in ("20", "2000", "2x0", "-20", "+200", ""):
+            self.check_refused(Answer(f"HTTP/1.1 {status} OK", WHOLE), "bad-start-line")
+
     def test_an_answer_behind_an_interim_one_arrives(self):
         answer = Answer("HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n" + OK, WHOLE, end=serve_on)
         self.check_passed_on(answer)
