Refuse an answer with a folded line in its head

Callers saw: an answer in whose head a field's name held a blank reached the client, with that line passed on or with a body that was not the target's. Here this happened to lines that begin with a blank: the line was joined to the value before it. Its Content-Length was lost, so the body lasted until the end of the connection, or the line was passed on inside a value. Cause: Beast takes folded lines, which RFC 9112, 5.2 has a gateway refuse or unfold; the server refused them, the client didn't look. Change: the look for folded lines stands in parseSome(), through which the server and the client read. Handled already: a name with any byte that is no part of a token, in it or before its colon.

--- a/src/core/message_fault.cpp
+++ b/src/core/message_fault.cpp
@@ -19,6 +19,8 @@
                         400},
         MessageFaultRow{MessageFault::FieldValue, "bad-field-value",
                         "a field value holds a control byte (RFC 9110, 5.5)", 400},
+        MessageFaultRow{MessageFault::FoldedLine, "folded-line",
+                        "a line of the head begins with a blank (RFC 9112, 2.2 and 5.2)", 400},
         MessageFaultRow{MessageFault::ContentLength, "bad-content-length",
                         "Content-Length tells no single length (RFC 9112, 6.3)", 400},
         MessageFaultRow{MessageFault::TransferCoding, "bad-transfer-coding",
--- a/src/core/message_fault.h
+++ b/src/core/message_fault.h
@@ -16,6 +16,7 @@
     LineEnd,
     FieldName,
     FieldValue,
+    FoldedLine,
     ContentLength,
     TransferCoding,
     HeadTooLong,
--- a/src/http1/parse.cpp
+++ b/src/http1/parse.cpp
@@ -47,6 +47,16 @@
     return status >= firstStatusCode && status <= lastStatusCode;
 }
 
+bool hasFoldedLine(std::string_view bytes)
+{
+    const std::size_t end = bytes.find("\r\n\r\n");
+    if (end == std::string_view::npos)
+        return false;
+    const std::string_view head = bytes.substr(0, end);
+    return head.find("\r\n ") != std::string_view::npos
+           || head.find("\r\n\t") != std::string_view::npos;
+}
+
 MessageFault faultOf(const boost::system::error_code &error)
 {
     const auto row
--- a/src/http1/parse_p.h
+++ b/src/http1/parse_p.h
@@ -7,6 +7,7 @@
 
 #include <stdexcept>
 #include <string>
+#include <string_view>
 
 namespace buckthornford {
 
@@ -16,6 +17,11 @@
 /// Returns whether the number \a status is a status code (RFC 9110, 15).
 bool isStatusCode(unsigned status);
 
+/// Returns whether the head at the start of \a bytes, if all of it has arrived, has a line that
+/// begins with a blank or a tab. Beast joins such a line to the one before it, and others may read
+/// it as a line of its own.
+bool hasFoldedLine(std::string_view bytes);
+
 /// What a parser made of the bytes that it was given.
 struct ParseStep
 {
@@ -34,6 +40,8 @@
     // the bytes behind the head.
     const bool hadHead = parser->is_header_done();
     parser->eager(hadHead);
+    if (!hadHead && hasFoldedLine(*bytes))
+        return {false, MessageFault::FoldedLine};
     boost::system::error_code error;
     std::size_t used = 0;
     try {
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -23,19 +23,6 @@
 /// When a client may repeat a request for whose body there was no memory.
 constexpr std::string_view memoryRetryAfterSeconds = "0.3";
 
-/// Returns whether the head at the start of \a bytes, if all of it has arrived, has a line that
-/// continues the one before. Beast joins such lines, and others may read them as lines of their
-/// own.
-bool hasFoldedLine(const std::string &bytes)
-{
-    const std::size_t end = bytes.find("\r\n\r\n");
-    if (end == std::string::npos)
-        return false;
-    const std::string_view head = std::string_view(bytes).substr(0, end);
-    return head.find("\r\n ") != std::string_view::npos
-           || head.find("\r\n\t") != std::string_view::npos;
-}
-
 /// Returns the members of a Transfer-Encoding field, empty ones included, without blanks.
 std::vector<std::string> splitCodings(const std::string &value)
 {
@@ -234,10 +221,6 @@
             m_parser->header_limit(static_cast<std::uint32_t>(m_server->m_limits.header.value()));
             m_parser->body_limit(m_server->m_limits.body.value());
         }
-        if (!m_parser->is_header_done() && hasFoldedLine(m_readBuffer)) {
-            refuse(MessageFault::FieldValue);
-            return;
-        }
         const ParseStep step = parseSome(m_parser.get(), &m_readBuffer);
         if (m_parser->is_header_done()) {
             if (const std::optional<FramingFault> fault = framingFault()) {
--- a/src/http1/tests/test_http1.cpp
+++ b/src/http1/tests/test_http1.cpp
@@ -1,11 +1,17 @@
 #define BOOST_TEST_MODULE http1
 #include "http1/http1.h"
+#include "http1/parse_p.h"
 #include "http1/tests/flood_server.h"
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cctype>
+
 using namespace buckthornford;
+namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
 namespace {
@@ -692,6 +698,44 @@
                 == ClientResponse::End::Truncated));
 }
 
+/// Guards against: a line that begins with a blank was joined to the one before it. What it told of
+/// the body was lost, or was passed on in a value.
+BOOST_FIXTURE_TEST_CASE(lineOfAHeadThatBeginsWithABlankReportsTruncated, ClientFixture)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const std::string blank : {" ", "\t", "  \t"}) {
+        for (const std::string &bytes :
+             {join({head, blank, "Content-Length: 2\r\nX-Id: 7\r\n\r\nok"}),
+              join({head, "X-Id: 7\r\n", blank, "Content-Length: 2\r\n\r\nok"}),
+              join({head, "X-Id: 7\r\nX-A: 1\r\n", blank, "\r\nContent-Length: 2\r\n\r\nok"}),
+              join({"HTTP/1.1 100 Continue\r\nX-A: 1\r\n", blank, "X-B: 2\r\n\r\n",
+                    matchingResponse})}) {
+            const ClientResponse response = exchange(bytes, false);
+            BOOST_TEST((response.end == ClientResponse::End::Truncated), bytes);
+            BOOST_TEST((response.refused.fault == MessageFault::FoldedLine), bytes);
+        }
+    }
+}
+
+/// Each byte but those of a token, anywhere in a name.
+BOOST_FIXTURE_TEST_CASE(fieldNameThatIsNoTokenReportsTruncated, ClientFixture)
+{
+    const std::string marks = "!#$%&'*+-.^_`|~:";
+    for (int code = 0; code < 256; ++code) {
+        const char byte = static_cast<char>(code);
+        if (std::isalnum(code) != 0 || marks.find(byte) != std::string::npos)
+            continue;
+        for (const std::size_t at : {0U, 1U, 4U}) {
+            std::string name = "X-Nm";
+            name.insert(at, 1, byte);
+            http::response_parser<http::string_body> parser;
+            std::string bytes = join({"HTTP/1.1 200 OK\r\nX-Id: 7\r\n", name, ": 1\r\n\r\n"});
+            BOOST_TEST((parseSome(&parser, &bytes).fault != MessageFault::None),
+                       "byte " << code << " at " << at);
+        }
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(refusalWithoutAnIdOnAKeptConnectionIsNotTaken, ClientFixture)
 {
     BOOST_TEST(exchangeNext("7", matchingResponse).body == "ok");
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -242,6 +242,29 @@
         for status in ("20", "2000", "2x0", "-20", "+200", ""):
             self.check_refused(Answer(f"HTTP/1.1 {status} OK", WHOLE), "bad-start-line")
 
+    # Guards against: a line that begins with a blank was joined to the one before it, so that the
+    # length that it told was lost and the body ended elsewhere, or it was passed on in a value.
+    def test_a_line_that_begins_with_a_blank_makes_no_answer(self):
+        length = f"Content-Length: {len(PART)}"
+        for blank in (" ", "\t", " \t "):
+            self.check_refused(Answer(OK, ("X-Field: 1", blank + length), end=close_orderly),
+                               "folded-line")
+            self.check_refused(Answer(FAILED, ("X-Field: 1", blank + "X-Other: 2", length)),
+                               "folded-line")
+        self.check_refused(Answer(OK + "\r\n " + length, NO_LENGTH), "folded-line")
+        self.check_refused(Answer(OK, ("X-Field: 1", " ", length)), "folded-line")
+        self.check_refused(Answer(OK, ("X-Field: 1", " " + length), end=reset), "folded-line",
+                           LONG_BODY, reads_body=False)
+
+    def test_a_field_name_with_a_blank_or_a_control_byte_makes_no_answer(self):
+        for byte in ("\0", "\1", "\t", "\n", "\v", "\x1f", " ", "\x7f", "\x80", "\xff"):
+            for name in (f"Content{byte}Length", f"Content-Length{byte}"):
+                self.check_refused(Answer(OK, (f"{name}: {len(PART)}",), end=close_orderly),
+                                   "bad-field-name")
+        for fields in (("\1Content-Length: 18",), (": 1",), ("no colon",)):
+            self.check_refused(Answer(OK, fields), "bad-field-name")
+        self.check_refused(Answer(OK, ("X-Field: a\1b", *WHOLE)), "bad-field-value")
+
     def test_an_answer_behind_an_interim_one_arrives(self):
         answer = Answer("HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n" + OK, WHOLE, end=serve_on)
         self.check_passed_on(answer)
