One rule for the transfer coding of requests and responses

Callers saw: an answer under HTTP/1.0 with Transfer-Encoding was taken, though the RFC has no transfer codings there and calls such framing faulty (9112, 6.1). Cause: the server had the rule for transfer codings, the client a looser one of its own. Change: framingFault() stands beside the other checks of a head in parse_p.h, which states the whole rule; the server and the client read heads through parseSome() only.

--- a/src/core/message_fault.cpp
+++ b/src/core/message_fault.cpp
@@ -24,7 +24,11 @@
         MessageFaultRow{MessageFault::ContentLength, "bad-content-length",
                         "Content-Length tells no single length (RFC 9112, 6.3)", 400},
         MessageFaultRow{MessageFault::TransferCoding, "bad-transfer-coding",
-                        "the transfer coding is not \"chunked\" alone (RFC 9112, 6.1)", 400},
+                        "Transfer-Encoding in HTTP/1.0, or not one list of codings that ends with "
+                        "\"chunked\" (RFC 9112, 6.1 and 6.3)",
+                        400},
+        MessageFaultRow{MessageFault::UnknownTransferCoding, "unknown-transfer-coding",
+                        "only \"chunked\" alone can be decoded (RFC 9112, 6.1)", 501},
         MessageFaultRow{MessageFault::HeadTooLong, "head-too-long",
                         "the head is longer than the limit", 431},
         MessageFaultRow{MessageFault::TwoHeads, "two-heads",
--- a/src/core/message_fault.h
+++ b/src/core/message_fault.h
@@ -19,6 +19,7 @@
     FoldedLine,
     ContentLength,
     TransferCoding,
+    UnknownTransferCoding,
     HeadTooLong,
     TwoHeads,
     // The body (RFC 9112, 6 to 8).
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -289,16 +289,12 @@
     m_memory->hold(this, Bytes{m_readBuffer.size() + bodySize});
 }
 
-/// Returns why no response of the server has the head that was read. A second copy that begins
-/// inside a half-written head leaves two ids or a status line in a field; a body in another coding
-/// than "chunked" isn't decoded.
+/// Returns why the head that was read isn't that of one response: a second copy that begins inside
+/// a half-written head leaves two ids or a status line in a field.
 MessageFault ClientConnection::headFault() const
 {
     int idCount = 0;
     for (const auto &field : m_parser->get()) {
-        if (field.name() == http::field::transfer_encoding
-            && !boost::beast::iequals(field.value(), "chunked"))
-            return MessageFault::TransferCoding;
         if (hasStatusLine(std::string_view(field.value().data(), field.value().size())))
             return MessageFault::TwoHeads;
         if (!m_request.idHeader.empty()
--- a/src/http1/parse.cpp
+++ b/src/http1/parse.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
+#include <iterator>
+#include <vector>
 
 namespace buckthornford {
 
@@ -37,6 +40,30 @@
         BeastErrorRow{error::end_of_stream, MessageFault::Incomplete},
 };
 
+/// Returns the members of a Transfer-Encoding field, empty ones included, without blanks.
+std::vector<std::string> splitCodings(const std::string &value)
+{
+    std::vector<std::string> names;
+    for (std::size_t start = 0; start <= value.size(); start += names.back().size() + 1)
+        names.emplace_back(value.substr(start, value.find(',', start) - start));
+    for (std::string &name : names) {
+        const std::size_t first = name.find_first_not_of(" \t");
+        const std::size_t last = name.find_last_not_of(" \t");
+        name = first == std::string::npos ? std::string() : name.substr(first, last - first + 1);
+    }
+    return names;
+}
+
+/// Returns whether \a name is a name without parameters (a token, RFC 9110, 5.6.2).
+bool isToken(const std::string &name)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [marks](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) != 0
+               || marks.find(c) != std::string_view::npos;
+    });
+}
+
 constexpr unsigned firstStatusCode = 100;
 constexpr unsigned lastStatusCode = 599;
 
@@ -47,6 +74,26 @@
     return status >= firstStatusCode && status <= lastStatusCode;
 }
 
+MessageFault framingFault(const boost::beast::http::fields &fields, unsigned version)
+{
+    constexpr unsigned http11 = 11;
+    const auto codings = fields.equal_range(boost::beast::http::field::transfer_encoding);
+    if (codings.first == codings.second)
+        return MessageFault::None;
+    const bool isSingle = std::next(codings.first) == codings.second;
+    if (version < http11 || !isSingle)
+        return MessageFault::TransferCoding;
+    const std::vector<std::string> names = splitCodings(std::string(codings.first->value()));
+    const auto isChunked
+            = [](const std::string &name) { return boost::beast::iequals(name, "chunked"); };
+    const bool endsChunkedOnce = std::count_if(names.begin(), names.end(), isChunked) == 1
+                                 && isChunked(names.back())
+                                 && std::all_of(names.begin(), names.end(), isToken);
+    if (!endsChunkedOnce)
+        return MessageFault::TransferCoding;
+    return names.size() > 1 ? MessageFault::UnknownTransferCoding : MessageFault::None;
+}
+
 bool hasFoldedLine(std::string_view bytes)
 {
     const std::size_t end = bytes.find("\r\n\r\n");
--- a/src/http1/parse_p.h
+++ b/src/http1/parse_p.h
@@ -4,6 +4,8 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
 
 #include <stdexcept>
 #include <string>
@@ -17,6 +19,21 @@
 /// Returns whether the number \a status is a status code (RFC 9110, 15).
 bool isStatusCode(unsigned status);
 
+/// Returns why the end of the body of a message with the head \a fields isn't known: what follows
+/// the head could be taken for the next message then.
+MessageFault framingFault(const boost::beast::http::fields &fields, unsigned version);
+
+/// Returns the fault of \a message, whose head Beast has read.
+template <bool isRequest, class Body>
+MessageFault headFault(const boost::beast::http::message<isRequest, Body> &message)
+{
+    if constexpr (!isRequest) {
+        if (!isStatusCode(message.result_int()))
+            return MessageFault::Status;
+    }
+    return framingFault(message, message.version());
+}
+
 /// Returns whether the head at the start of \a bytes, if all of it has arrived, has a line that
 /// begins with a blank or a tab. Beast joins such a line to the one before it, and others may read
 /// it as a line of its own.
@@ -53,10 +70,8 @@
     const bool lacksBytes = error == boost::beast::http::error::need_more;
     if (error && !lacksBytes)
         return {false, faultOf(error)};
-    if constexpr (!Parser::is_request::value) {
-        if (!hadHead && parser->is_header_done() && !isStatusCode(parser->get().result_int()))
-            return {false, MessageFault::Status};
-    }
+    if (!hadHead && parser->is_header_done())
+        return {false, headFault(parser->get())};
     return {used == 0 || lacksBytes, MessageFault::None};
 }
 
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -4,8 +4,6 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
-#include <cctype>
-#include <iterator>
 
 namespace buckthornford {
 
@@ -23,30 +21,6 @@
 /// When a client may repeat a request for whose body there was no memory.
 constexpr std::string_view memoryRetryAfterSeconds = "0.3";
 
-/// Returns the members of a Transfer-Encoding field, empty ones included, without blanks.
-std::vector<std::string> splitCodings(const std::string &value)
-{
-    std::vector<std::string> names;
-    for (std::size_t start = 0; start <= value.size(); start += names.back().size() + 1)
-        names.emplace_back(value.substr(start, value.find(',', start) - start));
-    for (std::string &name : names) {
-        const std::size_t first = name.find_first_not_of(" \t");
-        const std::size_t last = name.find_last_not_of(" \t");
-        name = first == std::string::npos ? std::string() : name.substr(first, last - first + 1);
-    }
-    return names;
-}
-
-/// Returns whether \a name is a name without parameters (a token, RFC 9110, 5.6.2).
-bool isToken(const std::string &name)
-{
-    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-    return !name.empty() && std::all_of(name.begin(), name.end(), [marks](char c) {
-        return std::isalnum(static_cast<unsigned char>(c)) != 0
-               || marks.find(c) != std::string_view::npos;
-    });
-}
-
 RequestId nextRequestId()
 {
     static std::uint64_t next = randomNumber();
@@ -222,12 +196,6 @@
             m_parser->body_limit(m_server->m_limits.body.value());
         }
         const ParseStep step = parseSome(m_parser.get(), &m_readBuffer);
-        if (m_parser->is_header_done()) {
-            if (const std::optional<FramingFault> fault = framingFault()) {
-                refuse(fault->status, fault->message);
-                return;
-            }
-        }
         if (step.fault != MessageFault::None) {
             refuse(step.fault);
             return;
@@ -246,31 +214,6 @@
         sendContinueIfExpected();
 }
 
-/// Returns why the end of the request's body isn't known (RFC 9112, 6.1 and 6.3): what follows the
-/// head could be taken for the next request then. Only the coding "chunked" alone can be decoded.
-std::optional<ServerConnection::FramingFault> ServerConnection::framingFault() const
-{
-    constexpr unsigned http11 = 11;
-    const auto &request = m_parser->get();
-    const auto codings = request.equal_range(http::field::transfer_encoding);
-    if (codings.first == codings.second)
-        return std::nullopt;
-    const bool isSingle = std::next(codings.first) == codings.second;
-    if (request.version() < http11 || !isSingle)
-        return FramingFault{400, "ambiguous transfer coding"};
-    const std::vector<std::string> names = splitCodings(std::string(codings.first->value()));
-    const auto isChunked
-            = [](const std::string &name) { return boost::beast::iequals(name, "chunked"); };
-    const bool endsChunkedOnce = std::count_if(names.begin(), names.end(), isChunked) == 1
-                                 && isChunked(names.back())
-                                 && std::all_of(names.begin(), names.end(), isToken);
-    if (!endsChunkedOnce)
-        return FramingFault{400, "the transfer coding doesn't end with chunked"};
-    if (names.size() > 1)
-        return FramingFault{501, "unknown transfer coding"};
-    return std::nullopt;
-}
-
 /// Holds memory for the whole body if its length is known, else for what has arrived. Returns false
 /// if the budget doesn't have it.
 bool ServerConnection::holdBodyMemory()
--- a/src/http1/server_p.h
+++ b/src/http1/server_p.h
@@ -51,18 +51,11 @@
 
 private:
     using Parser = http::request_parser<http::string_body>;
-    /// Why a request is refused whose end can't be told, and the status that says so.
-    struct FramingFault
-    {
-        int status = 0;
-        std::string message;
-    };
     enum class State { Reading, AwaitingResponse, Writing, Lingering, Closed };
 
     void waitForBytes();
     void readBytes();
     void parse();
-    std::optional<FramingFault> framingFault() const;
     bool holdBodyMemory();
     void refuse(MessageFault fault);
     void refuse(int status, const std::string &message, HttpHeaders headers = {});
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -265,6 +265,15 @@
             self.check_refused(Answer(OK, fields), "bad-field-name")
         self.check_refused(Answer(OK, ("X-Field: a\1b", *WHOLE)), "bad-field-value")
 
+    # Guards against: under HTTP/1.0, which has no transfer codings, a chunked body was taken for one.
+    def test_a_body_of_which_the_coding_tells_no_end_makes_no_answer(self):
+        chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(PART), PART)
+        self.check_refused(Answer("HTTP/1.0 200 OK", UNFINISHED, chunks), "bad-transfer-coding")
+        for coding, fault in (("gzip", "bad-transfer-coding"), ("identity", "bad-transfer-coding"),
+                              ("chunked, gzip", "bad-transfer-coding"),
+                              ("gzip, chunked", "unknown-transfer-coding")):
+            self.check_refused(Answer(OK, ("Transfer-Encoding: " + coding,), chunks), fault)
+
     def test_an_answer_behind_an_interim_one_arrives(self):
         answer = Answer("HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n" + OK, WHOLE, end=serve_on)
         self.check_passed_on(answer)
