--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -149,13 +149,19 @@
     m_isReset = false;
     m_receivedBytes = 0;
     m_skippedResponseCount = 0;
-    if (m_isConnected)
+    if (m_isConnected) {
         write();
-    else
-        connect(server);
+        return;
+    }
+    open(server, [this](bool isOpen) {
+        if (isOpen)
+            write();
+        else
+            refuse(MessageFault::None, ClientResponse::End::NotConnected);
+    });
 }
 
-void ClientConnection::connect(const Endpoint &server)
+void ClientConnection::open(const Endpoint &server, std::function<void(bool)> handler)
 {
     boost::system::error_code error;
     const auto address = boost::asio::ip::make_address_v4(server.host, error);
@@ -164,22 +170,22 @@
     m_isFirstExchange = true;
     m_idsOfErrors.clear();
     const std::uint64_t generation = ++m_generation;
-    m_socket.async_connect(
-            tcp::endpoint(address, server.port),
-            [self = shared_from_this(), generation](const boost::system::error_code &failure) {
-                if (generation != self->m_generation)
-                    return;
-                if (failure) {
-                    self->refuse(MessageFault::None, ClientResponse::End::NotConnected);
-                    return;
-                }
-                self->m_isConnected = true;
-                prepareSocket(&self->m_socket);
-                if (self->m_hasTcpKeepAlive)
-                    setTcpKeepAlive(&self->m_socket);
-                self->write();
-                self->waitForBytes();
-            });
+    m_socket.async_connect(tcp::endpoint(address, server.port),
+                           [self = shared_from_this(), generation, handler = std::move(handler)](
+                                   const boost::system::error_code &failure) {
+                               if (generation != self->m_generation)
+                                   return;
+                               if (failure) {
+                                   handler(false);
+                                   return;
+                               }
+                               self->m_isConnected = true;
+                               prepareSocket(&self->m_socket);
+                               if (self->m_hasTcpKeepAlive)
+                                   setTcpKeepAlive(&self->m_socket);
+                               handler(true);
+                               self->waitForBytes();
+                           });
 }
 
 void ClientConnection::write()
@@ -264,8 +270,9 @@
             createParser();
         const bool hadHead = m_parser->is_header_done();
         ParseStep step = parseSome(m_parser.get(), &m_readBuffer);
-        if (step.fault == MessageFault::None && !hadHead && m_parser->is_header_done())
-            step.fault = headFault();
+        const bool hasNewHead = !hadHead && m_parser->is_header_done();
+        if (step.fault == MessageFault::None && hasNewHead && isMergedHead())
+            step.fault = MessageFault::TwoHeads;
         if (step.fault != MessageFault::None) {
             refuse(step.fault);
             return;
@@ -289,19 +296,19 @@
     m_memory->hold(this, Bytes{m_readBuffer.size() + bodySize});
 }
 
-/// Returns why the head that was read isn't that of one response: a second copy that begins inside
+/// Returns whether the head that was read may be merged from two: a second copy that begins inside
 /// a half-written head leaves two ids or a status line in a field.
-MessageFault ClientConnection::headFault() const
+bool ClientConnection::isMergedHead() const
 {
     int idCount = 0;
     for (const auto &field : m_parser->get()) {
         if (hasStatusLine(std::string_view(field.value().data(), field.value().size())))
-            return MessageFault::TwoHeads;
+            return true;
         if (!m_request.idHeader.empty()
             && boost::beast::iequals(field.name_string(), m_request.idHeader))
             ++idCount;
     }
-    return idCount <= 1 ? MessageFault::None : MessageFault::TwoHeads;
+    return idCount > 1;
 }
 
 ClientConnection::Match ClientConnection::match(const ClientResponse &response) const
@@ -327,8 +334,8 @@
 bool ClientConnection::takeResponse()
 {
     // A trailer may have brought a field that the head had already.
-    if (const MessageFault fault = headFault(); fault != MessageFault::None) {
-        refuse(fault);
+    if (isMergedHead()) {
+        refuse(MessageFault::TwoHeads);
         return true;
     }
     const bool serverCloses = !m_parser->keep_alive();
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -197,6 +197,10 @@
                               std::shared_ptr<ResponseMemory> memory = nullptr);
     ~ClientConnection();
 
+    /// Opens the connection to \a server and calls \a handler with whether that succeeded, unless
+    /// close() is called first.
+    void open(const Endpoint &server, std::function<void(bool)> handler);
+
     /// Sends \a request, connecting to \a server first if the connection is not open. Calls
     /// \a handler once with the result, unless close() is called first. The previous exchange must
     /// have ended.
@@ -225,8 +229,7 @@
     /// What the id of a response, or its absence, says about the exchange that it belongs to.
     enum class Match { Current, Other, Uncertain };
 
-    void connect(const Endpoint &server);
-    MessageFault headFault() const;
+    bool isMergedHead() const;
     Match match(const ClientResponse &response) const;
     void write();
     void onWritten(const boost::system::error_code &error);
--- a/src/http1/socket_p.h
+++ b/src/http1/socket_p.h
@@ -3,16 +3,18 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <array>
+#include <memory>
 #include <string>
 
 namespace buckthornford {
 
-/// The buffer that every read fills first. All connections share it, so that idle ones hold no
-/// memory for reading; only the event loop's thread may use it.
+/// The buffer that every read fills first. All connections of a thread share it, so that idle ones
+/// hold no memory for reading. It lies on the heap: the stacks of some threads are short, and what
+/// a thread has of its own takes from its stack.
 inline std::array<char, 65536> &sharedReadBuffer()
 {
-    static std::array<char, 65536> buffer;
-    return buffer;
+    thread_local const auto buffer = std::make_unique<std::array<char, 65536>>();
+    return *buffer;
 }
 
 /// Sets the options that all connections have: non-blocking, no Nagle delay.
--- a/src/http_blocking/http_blocking.h
+++ b/src/http_blocking/http_blocking.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Blocking HTTP/1.1 server and client on CivetWeb. Requests and responses are plain values.
+/// Blocking HTTP/1.1 server, on CivetWeb, and client, on ClientConnection. Requests and responses
+/// are plain values.
 
 #include "core/core.h"
 #include "settings/settings.h"
@@ -12,8 +13,6 @@
 #include <utility>
 #include <vector>
 
-struct mg_connection;
-
 namespace buckthornford {
 
 /// Tells whether the peer of a connection has closed it. Each call is one poll() without waiting,
@@ -100,23 +99,18 @@
     ~HttpConnection();
 
     /// Sends \a request and reads the whole response. Error::ConnectionLost if the connection broke
-    /// before the response's head arrived, Error::AnswerCut if it broke inside the body,
-    /// Error::Timeout if the head had not arrived after \a timeout. After an error the connection
-    /// can't be used again.
+    /// before the response's head arrived, Error::AnswerCut if it broke inside the body or what
+    /// came was no valid response, Error::Timeout if the response was not whole after \a timeout.
+    /// After an error the connection can't be used again.
     Result<HttpResponse> exchange(const HttpRequest &request, Duration timeout);
 
-    /// Whether the last response asked to close the connection.
-    bool mustClose() const { return m_mustClose; }
+    /// Whether the connection can't carry another exchange after the last one.
+    bool mustClose() const;
 
 private:
-    HttpConnection(mg_connection *connection, Endpoint endpoint);
-
-    /// Reads \a length bytes, or to the end of the stream if \a length is negative.
-    Result<std::string> readBody(std::int64_t length);
-
-    mg_connection *m_connection;
-    Endpoint m_endpoint;
-    bool m_mustClose = false;
+    struct Private;
+    explicit HttpConnection(std::unique_ptr<Private> d);
+    std::unique_ptr<Private> m_d;
 };
 
 /// Performs one exchange on a new connection and closes it. Errors as for connect() and exchange().
