Pass on no answer of another node whose status is none

Callers would see: a node of an older build takes a status of 600 or more from its target, and nodes of this build passed it on. Cause: the status of an answer that comes over the mesh was not looked at, only its body. Change: isIntact() looks at the status and at the body; what is a status stands once, in core/headers.h, and the reading of heads uses it.

--- a/src/call/call.cpp
+++ b/src/call/call.cpp
@@ -21,9 +21,10 @@
     return answer;
 }
 
-bool hasIntactBody(const Answer &answer)
+bool isIntact(const Answer &answer)
 {
-    return checksum(answer.body) == answer.bodyChecksum;
+    const bool hasValidStatus = answer.status == 0 || isFinalStatus(answer.status);
+    return hasValidStatus && checksum(answer.body) == answer.bodyChecksum;
 }
 
 } // namespace buckthornford
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -116,7 +116,8 @@
 /// Makes a "not run" answer to \a run; its retry budget is given back.
 Answer makeRefusal(const RunRequest &run, Error reason, bool retryable);
 
-/// Returns whether the body of \a answer matches the checksum that the target sent.
-bool hasIntactBody(const Answer &answer);
+/// Returns whether \a answer, which another node has sent, can be passed on: the body matches the
+/// checksum, and the status is that of a final response or none.
+bool isIntact(const Answer &answer);
 
 } // namespace buckthornford
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -136,7 +136,7 @@
     const Attempt ended = *attempt;
     call.openAttempts.erase(attempt);
     call.budget.giveBack(std::min(answer.retryBudgetLeft, ended.lentTokens));
-    if (!hasIntactBody(answer)) {
+    if (!isIntact(answer)) {
         answer.outcome = Outcome::Unknown;
         answer.reason = Error::AnswerCut;
         answer.retryable = true;
--- a/src/dispatch/tests/test_dispatch.cpp
+++ b/src/dispatch/tests/test_dispatch.cpp
@@ -216,6 +216,22 @@
     BOOST_TEST((resent->to == sent.to));
 }
 
+/// A node of an older build may read the answers of its target by a looser rule.
+BOOST_AUTO_TEST_CASE(answerOfAnotherNodeWithAStatusThatIsNoneIsCut)
+{
+    for (const int status : {-1, 1, 99, 100, 199, 200, 599, 600, 999}) {
+        DispatcherFixture fixture;
+        auto actions = fixture.dispatcher.startCall(RequestId{1}, fixture.request(true),
+                                                    fixture.history, fixture.now, fixture.wall);
+        const SendRun sent = *DispatcherFixture::find<SendRun>(actions);
+        Answer answer = answerTo(sent.run, Outcome::Completed);
+        answer.status = status;
+        actions = fixture.dispatcher.onAnswer(sent.to.instance, answer, fixture.now, fixture.wall);
+        const bool isSentAgain = DispatcherFixture::find<SendRun>(actions) != nullptr;
+        BOOST_TEST(isSentAgain == (status < 200 || status > 599), status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(deadlineEndsCallAndCancelsAttempt)
 {
     DispatcherFixture fixture;
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr int firstFinalStatus = 200;
 constexpr int firstErrorStatus = 400;
 /// Error responses after which a connection is closed, which bounds the ids that it remembers.
 constexpr std::size_t maxErrorsPerConnection = 64;
@@ -343,7 +342,7 @@
     m_parser.reset();
     ClientResponse response;
     response.status = static_cast<int>(message.result_int());
-    if (response.status < firstFinalStatus)
+    if (!isFinalStatus(response.status))
         return false;
     for (const auto &field : message)
         response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
--- a/src/http1/parse.cpp
+++ b/src/http1/parse.cpp
@@ -64,16 +64,8 @@
     });
 }
 
-constexpr unsigned firstStatusCode = 100;
-constexpr unsigned lastStatusCode = 599;
-
 } // namespace
 
-bool isStatusCode(unsigned status)
-{
-    return status >= firstStatusCode && status <= lastStatusCode;
-}
-
 MessageFault framingFault(const boost::beast::http::fields &fields, unsigned version)
 {
     constexpr unsigned http11 = 11;
--- a/src/http1/parse_p.h
+++ b/src/http1/parse_p.h
@@ -1,5 +1,12 @@
 #pragma once
 
+/// The rule for the head of a message, of requests and of responses (RFC 9112). Beast checks the
+/// start line (3 and 4), that each line ends with CRLF (2.2), that names are tokens with the colon
+/// at once behind them (5.1), that values hold no control bytes (RFC 9110, 5.5), and Content-Length
+/// (6.3). What it takes beyond the RFC is refused here: folded lines (5.2), numbers that are no
+/// status (RFC 9110, 15), and transfer codings that leave the end of the body open (6.1 and 6.3).
+
+#include "core/headers.h"
 #include "core/message_fault.h"
 
 #include <boost/asio/buffer.hpp>
@@ -16,9 +23,6 @@
 /// Returns which fault of a message Beast has reported as \a error.
 MessageFault faultOf(const boost::system::error_code &error);
 
-/// Returns whether the number \a status is a status code (RFC 9110, 15).
-bool isStatusCode(unsigned status);
-
 /// Returns why the end of the body of a message with the head \a fields isn't known: what follows
 /// the head could be taken for the next message then.
 MessageFault framingFault(const boost::beast::http::fields &fields, unsigned version);
@@ -28,7 +32,7 @@
 MessageFault headFault(const boost::beast::http::message<isRequest, Body> &message)
 {
     if constexpr (!isRequest) {
-        if (!isStatusCode(message.result_int()))
+        if (!isStatusCode(static_cast<int>(message.result_int())))
             return MessageFault::Status;
     }
     return framingFault(message, message.version());
