Test of broken answers of the store

The store's answers go through the same client, so that the fixes before this commit cover them. The test has the store of real nodes answer with status 000, a body that a reset breaks off, a folded line and a name with a blank: each is refused, with the line store-answer-refused, and requests are served by what is known. It was not run on the code before the fixes.

--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -70,6 +70,7 @@
         self.era = 1  # rises each time the store comes back from a copy
         self.lost_writes = []  # of the operator, by the last restore
         self.fault = None  # "down" (503), "silent", "slow" or "lost" (answers of writes)
+        self.broken_answer = None  # is called with the handler in place of an answer
         self.calls = 0
         self.changed = threading.Condition()
         store = self
@@ -86,6 +87,9 @@
 
             def do_GET(self):
                 store.calls += 1
+                if store.broken_answer:
+                    store.broken_answer(self)
+                    return
                 if store.apply_fault(self):
                     return
                 url = urllib.parse.urlsplit(self.path)
@@ -102,6 +106,9 @@
             def do_POST(self):
                 store.calls += 1
                 operations = json.loads(self.body())
+                if store.broken_answer:
+                    store.broken_answer(self)
+                    return
                 if store.apply_fault(self):
                     return
                 response = store.transact(operations)
@@ -181,6 +188,12 @@
     def put(self, table, key, value):
         self.transact({"Puts": [{"Table": table, "part": "", "Key": key, "Value": value}]})
 
+    def rows_without_routes(self):
+        """Returns the row of a configuration that knows no routes."""
+        document = json.dumps(configuration(99, [], [])).encode()
+        return [{"Table": "op", "part": "", "Key": "config", "Ver": self.version + 100,
+                 "Value": base64.b64encode(document).decode()}]
+
     def values(self, table):
         """Returns the values of a table's rows by their keys."""
         with self.changed:
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -274,6 +274,42 @@
                               ("gzip, chunked", "unknown-transfer-coding")):
             self.check_refused(Answer(OK, ("Transfer-Encoding: " + coding,), chunks), fault)
 
+    # The rows that such an answer holds would take the routes away.
+    def test_a_broken_answer_of_the_store_is_not_taken(self):
+        rows = json.dumps({"Rows": self.store.rows_without_routes(), "HasMore": False,
+                           "Ver": self.store.version + 100, "NowMs": 0}).encode()
+        length = f"Content-Length: {len(rows)}"
+        for answer, fault in ((Answer("HTTP/1.1 000 Broken", (length,), rows), "bad-status"),
+                              (Answer(OK, NO_LENGTH, rows, reset), "reset"),
+                              (Answer(OK, (length + "0",), rows, reset), "reset"),
+                              (Answer(OK, ("A: 1", " " + length), rows), "folded-line"),
+                              (Answer(OK, ("A b: 1", length), rows), "bad-field-name")):
+            with self.subTest(answer=answer):
+                self.check_store(answer, fault)
+
+    def check_store(self, answer, fault):
+        """The store answers all calls with `answer`: each is refused, and what is known holds."""
+        def send(handler):
+            handler.connection.sendall(head_of("store", answer.start_line, answer.fields)
+                                       + answer.body)
+            answer.end(handler)
+
+        def refused(node):
+            lines = pathlib.Path(node.log.name).read_text().splitlines()
+            return [line for line in lines if "store-answer-refused" in line
+                    and json.loads(line)["fault"] == fault]
+
+        before = {node.name: len(refused(node)) for node in self.live_nodes}
+        self.store.broken_answer = send
+        self.store.set_fault(None)  # ends the watches
+        self.store.put("op", "other", "")
+        fleet.wait_until(lambda: any(len(refused(node)) > before[node.name]
+                                     for node in self.live_nodes), LOG_S, "a refused answer")
+        for node in self.live_nodes:
+            self.assertEqual(self.send(node, "/status/x", SHORT_BODY)[0], 200)
+        self.store.broken_answer = None
+        self.store.put("op", "other", "")
+
     def test_an_answer_behind_an_interim_one_arrives(self):
         answer = Answer("HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n" + OK, WHOLE, end=serve_on)
         self.check_passed_on(answer)
