--- a/src/http_blocking/tests/test_http_blocking.cpp
+++ b/src/http_blocking/tests/test_http_blocking.cpp
@@ -125,13 +125,13 @@
 
 BOOST_AUTO_TEST_CASE(brokenHeadsAreCut)
 {
-    const std::string rest = "Content-Length: 2\r\n\r\nok";
-    for (const std::string &bytes :
-         {"HTTP/1.1 000 Broken\r\n" + rest, "HTTP/1.1 099 Broken\r\n" + rest,
-          "HTTP/1.1 600 Broken\r\n" + rest, ok + "Content-Length : 2\r\n\r\nok",
-          ok + "X-A: 1\r\n Content-Length: 2\r\n\r\nok", ok + "X A: 1\r\n" + rest,
-          ok + "X-A\x01: 1\r\n" + rest, ok + "\x01X-A: 1\r\n" + rest, ok + "\tX-A: 1\r\n" + rest,
-          ok + "X-A: 1\r\n\t\r\n" + rest}) {
+    for (const std::string head :
+         {"HTTP/1.1 000 Broken\r\n", "HTTP/1.1 099 Broken\r\n", "HTTP/1.1 600 Broken\r\n",
+          "HTTP/1.1 200 OK\r\nX-A : 1\r\n", "HTTP/1.1 200 OK\r\nX-A: 1\r\n X-B: 2\r\n",
+          "HTTP/1.1 200 OK\r\nX A: 1\r\n", "HTTP/1.1 200 OK\r\nX-A\x01: 1\r\n",
+          "HTTP/1.1 200 OK\r\n\x01X-A: 1\r\n", "HTTP/1.1 200 OK\r\n\tX-A: 1\r\n",
+          "HTTP/1.1 200 OK\r\nX-A: 1\r\n\t\r\n"}) {
+        const std::string bytes = head + "Content-Length: 2\r\n\r\nok";
         for (const After after : {After::Stays, After::Ends}) {
             const Result<HttpResponse> response = exchangeWith(bytes, after);
             BOOST_TEST((!response && errorOf(response.error()) == Error::AnswerCut), bytes);
