--- a/src/http1/socket_p.h
+++ b/src/http1/socket_p.h
@@ -2,19 +2,19 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include <array>
-#include <memory>
 #include <string>
+#include <vector>
 
 namespace buckthornford {
 
 /// The buffer that every read fills first. All connections of a thread share it, so that idle ones
 /// hold no memory for reading. It lies on the heap: the stacks of some threads are short, and what
 /// a thread has of its own takes from its stack.
-inline std::array<char, 65536> &sharedReadBuffer()
+inline std::vector<char> &sharedReadBuffer()
 {
-    thread_local const auto buffer = std::make_unique<std::array<char, 65536>>();
-    return *buffer;
+    constexpr std::size_t size = 65536; // bytes
+    thread_local std::vector<char> buffer(size);
+    return buffer;
 }
 
 /// Sets the options that all connections have: non-blocking, no Nagle delay.
